Let machines without a disk follow the log without a vote

Cause: deployments with two machines with a disk in each data centre need a coordinator on both, as the loss of two at once must be borne, but where there is only one, the second coordinator has no disk.

Change: a membership has observers beside voters and learners. A member whose storage does not outlive its process says so when it introduces itself; the leader admits it as an observer and never makes it a voter. A founder without a disk leaves the group to the other founders, and its silent vote is taken out later. The log and the cache of what was spread last are kept in memory there.

Ruled out: the log in the temporary folder as a voter, since a restart forgets votes; a second program that only redirects, since seeds may name such a machine, so that it has to know the members anyway.

Tests: test/raft/test_membership.py, three new ones; there was no way to have an observer before.

--- a/test/raft/test_membership.py
+++ b/test/raft/test_membership.py
@@ -11,6 +11,8 @@
     settle,
 )
 from turmericreel.coordination.raft.state import Role
+from turmericreel.state.storage.disk import MemoryDisk
+from turmericreel.state.storage.entries import instance_of
 
 
 def leaving(group: SmallGroup, name: str) -> None:
@@ -133,3 +135,61 @@
     group.run(0.3)
     # Nothing can be committed now, so the second change waits for the first.
     assert len(members_of(group, leader)) == 4
+
+
+def add_without_disk(group: SmallGroup, name: str) -> None:
+    """Start a further instance whose log lasts as long as its process."""
+    group.add_name(name)
+    group.nodes[name].disk = MemoryDisk()
+    group.start(name)
+
+
+def observers_of(group: SmallGroup) -> list[str]:
+    leader = group.nodes[group.wait_for_leader()].member
+    return [instance_of(m) for m in leader.core.state.membership.observers]
+
+
+def test_instance_without_a_disk_is_sent_the_log_and_never_votes():
+    group = SmallGroup(founders=frozenset("abc"), seed=8)
+    fill(group, 1, 3)
+    add_without_disk(group, "d")
+    group.run_until(lambda: observers_of(group) == ["d"], what="an observer")
+    fill(group, 4, 6)
+    group.run_until(lambda: revision_at(group, "d") == 6, what="the log")
+    # The two that are left are a quorum only if the observer does not count.
+    lost = others(group, group.leader())
+    group.crash(next(n for n in lost if n != "d"))
+    fill(group, 7, 8)
+    group.run(5.0)
+    assert observers_of(group) == ["d"]
+    assert group.nodes["d"].member.core.state.role is Role.LEARNER
+
+
+def test_observer_that_is_started_again_takes_its_own_place():
+    group = SmallGroup(founders=frozenset("abc"), seed=9)
+    fill(group, 1, 3)
+    add_without_disk(group, "d")
+    group.run_until(lambda: observers_of(group) == ["d"], what="an observer")
+    group.lose_disk("d")
+    add_without_disk(group, "d")
+    group.run_until(
+        lambda: (
+            group.nodes["d"].member.core is not None and revision_at(group, "d") == 3
+        ),
+        what="the log anew",
+    )
+    assert observers_of(group) == ["d"]
+
+
+def test_founder_without_a_disk_leaves_the_group_to_the_others():
+    group = SmallGroup(names=(), founders=frozenset("abc"), seed=10)
+    for name in "abcd":
+        group.add_name(name)
+    group.nodes["c"].disk = MemoryDisk()
+    for name in "abcd":
+        group.start(name)
+    fill(group, 1, 3)
+    group.run_until(lambda: observers_of(group) == ["c"], what="an observer")
+    group.run_until(lambda: revision_at(group, "c") == 3, what="the log")
+    membership = group.nodes[group.leader()].member.core.state.membership
+    assert {instance_of(v) for v in membership.voters} == {"a", "b", "d"}
--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -79,15 +79,18 @@
         self.servers: dict[str, RoutedServer] = {}
         self.sequence = 0
 
-    def start_coordinator(self, instance: str, *, is_founder: bool) -> Coordinator:
+    def start_coordinator(
+        self, instance: str, *, is_founder: bool, has_disk: bool = True
+    ) -> Coordinator:
         """Start a coordinator in its folder."""
+        folder = self.folder / instance.partition(":")[0]
         coordinator = Coordinator(
             settings=CoordinatorSettings(
                 instance=instance,
                 data_centre="a",
                 seeds=self.seeds,
                 is_founder=is_founder,
-                data_folder=str(self.folder / instance.partition(":")[0]),
+                data_folder=str(folder) if has_disk else None,
                 internal_port=self.internal_port,
                 raft_port=self.raft_port,
                 heartbeat_ms=60_000,
--- a/turmericreel/coordination/raft/formation.py
+++ b/turmericreel/coordination/raft/formation.py
@@ -41,6 +41,8 @@
         The other instances that the settings name.
     joins_only : bool
         Whether a group exists for certain, so that this member never forms one.
+    is_durable : bool
+        Whether this member's log outlives its process.
     """
 
     def __init__(
@@ -49,10 +51,12 @@
         identity: Identity,
         peers: set[InstanceId],
         joins_only: bool = False,
+        is_durable: bool = True,
     ):
         self.identity = identity
         self.peers = peers
         self.joins_only = joins_only
+        self.is_durable = is_durable
         self.empty_peers: dict[InstanceId, MemberId] = {}
         if identity.initial is None and not peers and not joins_only:
             self._adopt(Membership(voters=(identity.member,)))
@@ -73,6 +77,7 @@
             member=self.identity.member,
             initial=self.identity.initial,
             is_question=is_question,
+            is_durable=self.is_durable,
         )
 
     def hear(self, message: Introduction) -> bool:
--- a/turmericreel/coordination/raft/member.py
+++ b/turmericreel/coordination/raft/member.py
@@ -151,6 +151,7 @@
             identity=identity,
             peers=self.peers,
             joins_only=self.founders is not None,
+            is_durable=self.storage.disk.outlives_process,
         )
         if self.formation.initial is None:
             return
@@ -304,7 +305,8 @@
         return Identity(member=member_id(self.instance, number))
 
     def _new_identity(self) -> Identity:
-        if self.founders is not None and self.instance in self.founders:
+        is_founder = self.founders is not None and self.instance in self.founders
+        if is_founder and self.storage.disk.outlives_process:
             identity = founder_identity(self.instance, self.founders)
             self.storage.save_identity(identity)
             return identity
@@ -374,9 +376,9 @@
         state = self.core.state
         if state.is_voter:
             return True
-        # The entry that admitted a learner may have been lost with its leader.
-        is_learner = state.member in state.membership.learners
-        return is_learner and self.clock.monotonic() < state.promise_deadline
+        # The entry that admitted this member may have been lost with its leader.
+        is_member = state.member in state.membership.members
+        return is_member and self.clock.monotonic() < state.promise_deadline
 
     def _introduce(self, now: float) -> None:
         if now < self.introduction_deadline or self._belongs():
@@ -386,8 +388,13 @@
             self.send(peer, self.formation.introduce(is_question=True))
 
     def _admit(self, message: Introduction) -> None:
-        if message.member not in self.core.state.membership.members:
-            self.core.reconfiguration.asked_to_join.add(message.member)
+        if message.member in self.core.state.membership.members:
+            return
+        reconfiguration = self.core.reconfiguration
+        if message.is_durable:
+            reconfiguration.asked_to_join.add(message.member)
+        else:
+            reconfiguration.asked_to_observe.add(message.member)
 
     def _snapshot_if_due(self) -> None:
         least = max(self.snapshot_after_bytes, self.core.state.snapshot.size_bytes)
--- a/turmericreel/coordination/raft/reconfiguration.py
+++ b/turmericreel/coordination/raft/reconfiguration.py
@@ -17,7 +17,7 @@
 
 
 class Reconfiguration:
-    """Adds learners, makes them voters, and replaces lost lives of an instance.
+    """Adds members, makes learners voters, and replaces lost lives of an instance.
 
     Parameters
     ----------
@@ -39,6 +39,7 @@
         self.replication = replication
         self.drops_silent = drops_silent
         self.asked_to_join: set[MemberId] = set()
+        self.asked_to_observe: set[MemberId] = set()
         self.asked_to_leave: set[MemberId] = set()
 
     def next_membership(self, now: float) -> Membership | None:
@@ -65,16 +66,24 @@
 
     def _join(self, now: float) -> Membership | None:
         present = self.state.membership
-        for member in sorted(self.asked_to_join):
+        for member in sorted(self.asked_to_join | self.asked_to_observe):
             if member in present.members or member in present.former:
                 continue
             if any(not self._silent(old, now) for old in self._earlier_lives(member)):
                 # Another process under the same name is alive.
                 continue
-            learners = tuple(
-                m for m in present.learners if instance_of(m) != instance_of(member)
+            instance = instance_of(member)
+            learners = tuple(m for m in present.learners if instance_of(m) != instance)
+            observers = tuple(
+                m for m in present.observers if instance_of(m) != instance
+            )
+            if member in self.asked_to_observe:
+                observers = (*observers, member)
+            else:
+                learners = (*learners, member)
+            return msgspec.structs.replace(
+                present, learners=learners, observers=observers
             )
-            return msgspec.structs.replace(present, learners=(*learners, member))
         return None
 
     def _promote(self, now: float) -> Membership | None:
@@ -127,5 +136,6 @@
     return Membership(
         voters=tuple(m for m in present.voters if m != member),
         learners=tuple(m for m in present.learners if m != member),
+        observers=tuple(m for m in present.observers if m != member),
         former=(*present.former, member)[-FORMER_LIMIT:],
     )
--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -42,7 +42,7 @@
     SubmitRouting,
 )
 from turmericreel.state.spread_cache import SpreadCache, SpreadState
-from turmericreel.state.storage.disk import FolderDisk
+from turmericreel.state.storage.disk import Disk, FolderDisk, MemoryDisk
 from turmericreel.state.storage.entries import instance_of
 from turmericreel.state.storage.log_storage import LogStorage
 from turmericreel.util.clock import Clock
@@ -90,10 +90,7 @@
         self.codec = codec
         self.clock = clock
         self.machine = RoutingMachine()
-        folder = Path(settings.data_folder)
-        self.cache = SpreadCache(
-            open_disk=lambda: FolderDisk(folder=folder / CACHE_FOLDER)
-        )
+        self.cache = SpreadCache(open_disk=lambda: self._open_disk(CACHE_FOLDER))
         self.cached = SpreadState()
         seeds = frozenset(settings.seeds)
         host = settings.instance.rpartition(":")[0]
@@ -111,7 +108,7 @@
             instance=settings.instance,
             machine=self.machine,
             command_type=RoutingCommand,
-            storage=LogStorage(disk=FolderDisk(folder=folder / LOG_FOLDER)),
+            storage=LogStorage(disk=self._open_disk(LOG_FOLDER)),
             transport=self.transport,
             control_address_of=str,
             timing=TIMING,
@@ -236,17 +233,32 @@
         self.hub.sign_off_server(server)
 
     def beat(self) -> Beat:
-        """Return which coordinators there are, and whether a leader is known."""
+        """Return which coordinators there are, and who leads them."""
+        core = self.log.member.core
         return Beat(
-            coordinators=self._members(), has_leader=self.log.leader() is not None
+            coordinators=self._log_keepers(),
+            leader=self.log.leader(),
+            term=core.state.term if core is not None else 0,
         )
 
+    def _open_disk(self, name: str) -> Disk:
+        if self.settings.data_folder is None:
+            return MemoryDisk()
+        return FolderDisk(folder=Path(self.settings.data_folder) / name)
+
     def _members(self) -> tuple[InstanceId, ...]:
         core = self.log.member.core
         if core is None:
             return ()
         return tuple(instance_of(m) for m in core.state.membership.members)
 
+    def _log_keepers(self) -> tuple[InstanceId, ...]:
+        core = self.log.member.core
+        if core is None:
+            return ()
+        membership = core.state.membership
+        return tuple(instance_of(m) for m in membership.voters + membership.learners)
+
     def _require_leader(self) -> None:
         if not self.log.is_leader():
             raise FailureError(NotLeader(leader=self.log.leader() or ""))
--- a/turmericreel/model/routing_settings.py
+++ b/turmericreel/model/routing_settings.py
@@ -50,7 +50,9 @@
     ----------
     is_founder : bool
         Whether the seeds form a new group with empty folders.
-    data_folder : str
+    data_folder : str or None
+        None on a machine without a disk: what is known then lasts as long as the
+        process, which never counts towards a quorum.
     raft_port : int
         Where coordinators listen for each other's log, the same on all machines.
     heartbeat_ms : int
@@ -61,7 +63,7 @@
     data_centre: DataCentreId
     seeds: tuple[InstanceId, ...]
     is_founder: bool
-    data_folder: str
+    data_folder: str | None
     internal_port: int
     raft_port: int
     heartbeat_ms: int
--- a/turmericreel/platform/settings.py
+++ b/turmericreel/platform/settings.py
@@ -17,8 +17,6 @@
 # Descriptors that are left for servers, coordinators and files.
 KEPT_DESCRIPTORS = 1_000
 LEAST_CONNECTIONS = 100
-# Without a disk the log lasts as long as the process.
-NO_DISK_FOLDER = "/tmp/turmericreel"
 
 
 def settings_path() -> Path:
@@ -74,7 +72,7 @@
         data_centre=DataCentreId(settings.zone),
         seeds=seeds,
         is_founder=settings.bootstrap and instance in seeds,
-        data_folder=settings.data_dir or NO_DISK_FOLDER,
+        data_folder=settings.data_dir or None,
         internal_port=settings.internal_port_range[0],
         raft_port=settings.internal_port_range[0] + 1,
         heartbeat_ms=settings.heartbeat_ms,
--- a/turmericreel/protocols/raft_messages.py
+++ b/turmericreel/protocols/raft_messages.py
@@ -143,6 +143,8 @@
         Present members, so that a newcomer finds those that it was not told of.
     former : tuple of MemberId
         Members that were taken out, so that one that was away learns of it.
+    is_durable : bool
+        Whether the sender's log outlives its process, so that it may vote.
     """
 
     member: MemberId
@@ -150,6 +152,7 @@
     is_question: bool
     members: tuple[MemberId, ...] = ()
     former: tuple[MemberId, ...] = ()
+    is_durable: bool = True
 
 
 ToPeer = (
--- a/turmericreel/state/storage/disk.py
+++ b/turmericreel/state/storage/disk.py
@@ -6,13 +6,23 @@
 
 import os
 from abc import ABC, abstractmethod
+from errno import ENOENT
 from pathlib import Path
 
 
 class Disk(ABC):
-    """A folder of files.  Every method raises `OSError` when the disk refuses."""
+    """A folder of files.  Every method raises `OSError` when the disk refuses.
+
+    Attributes
+    ----------
+    path : str
+        For messages.
+    outlives_process : bool
+        Whether files are there when the process is started again.
+    """
 
     path: str
+    outlives_process = True
 
     @abstractmethod
     def names(self) -> list[str]:
@@ -51,6 +61,57 @@
         """Close all files."""
 
 
+class MemoryDisk(Disk):
+    """Files that last as long as the process, for machines without a disk."""
+
+    outlives_process = False
+
+    def __init__(self):
+        self.path = "memory"
+        self.files: dict[str, bytearray] = {}
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        return sorted(self.files)
+
+    def read(self, name: str, *, offset: int = 0, size: int | None = None) -> bytes:
+        """Return content from `offset` on, at most `size` bytes."""
+        end = None if size is None else offset + size
+        return bytes(self._file(name)[offset:end])
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add to the end of a file, which is created if it is absent."""
+        self.files.setdefault(name, bytearray()).extend(data)
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file."""
+        del self._file(name)[size:]
+
+    def sync(self, name: str) -> None:
+        """Do nothing: there is nothing behind the memory."""
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file, over another if need be."""
+        self.files[new] = self._file(old)
+        del self.files[old]
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._file(name)
+        del self.files[name]
+
+    def sync_folder(self) -> None:
+        """Do nothing: there is nothing behind the memory."""
+
+    def close(self) -> None:
+        """Do nothing: there are no descriptors."""
+
+    def _file(self, name: str) -> bytearray:
+        if name not in self.files:
+            raise FileNotFoundError(ENOENT, os.strerror(ENOENT), name)
+        return self.files[name]
+
+
 class FolderDisk(Disk):
     """A folder of the machine's file system.
 
--- a/turmericreel/state/storage/entries.py
+++ b/turmericreel/state/storage/entries.py
@@ -47,16 +47,21 @@
 
 
 class Membership(msgspec.Struct, frozen=True, kw_only=True):
-    """Who holds the log: voters count towards a quorum, learners only receive.
+    """Who holds the log: voters count towards a quorum, the others only receive.
 
     Parameters
     ----------
+    learners : tuple of MemberId
+        Members that become voters once they have caught up.
+    observers : tuple of MemberId
+        Members without a disk, which never become voters.
     former : tuple of MemberId
         Members that were taken out last; they are not admitted again.
     """
 
     voters: tuple[MemberId, ...] = ()
     learners: tuple[MemberId, ...] = ()
+    observers: tuple[MemberId, ...] = ()
     former: tuple[MemberId, ...] = ()
 
     @property
@@ -66,8 +71,8 @@
 
     @property
     def members(self) -> tuple[MemberId, ...]:
-        """Voters and learners."""
-        return self.voters + self.learners
+        """All that are sent the log."""
+        return self.voters + self.learners + self.observers
 
 
 class HardState(msgspec.Struct, frozen=True, kw_only=True):
