Connect gateways to the leader; one lost connection loses no gateway

Cause 1: with more than three coordinators, evidence, work and usage reached only those three that a gateway happened to be connected to, so that the leader judged roll-outs by a part and recorded a part. Change: beats name the leader and its term; decisions/coordinator_choice.py keeps one of the three connections at the leader, and work is told to it alone while it is connected. A leader that is not connected to all gateways that its peers hear does not count a roll-out as seen by all.

Change: what is lost is named apart from what takes no clients.

Cause 3, found by reading: the address list of a coordinator that was the last to be lost was kept for good when another took its place. Change: it ends three beats after another coordinator is heard.

Ruled out: connections to all coordinators (twice the streams on the grown sites); forwarding of reports between coordinators (a second copy of each on the way).

--- /dev/null
+++ b/test/routing/test_many_coordinators.py
@@ -0,0 +1,130 @@
+"""More coordinators than a gateway is connected to, and some without a disk."""
+
+from random import Random
+
+import pytest
+from gevent import sleep
+from hypothesis import given
+from hypothesis import strategies as st
+
+from test.routing.library import SERVICE, make_route, make_server
+from test.routing.small_system import NAMES, small_system, wait_until
+from turmericreel.decisions.coordinator_choice import LINK_LIMIT, choose_links
+from turmericreel.fakes.routed_server import Misbehaviour
+from turmericreel.model.failures import FailureError, NotLeader
+from turmericreel.model.routing import RolloutStage
+
+SAFE = make_route("/safe/")
+NAMES_OF_MANY = [f"c{n}" for n in range(8)]
+
+
+def change_links(links, *, members, seeds=(), leader=None, seed=1):
+    return choose_links(
+        links, members=members, seeds=seeds, leader=leader, rng=Random(seed)
+    )
+
+
+def test_a_gateway_begins_with_the_seeds():
+    change = change_links({}, members=(), seeds=("c1", "c2"))
+    assert set(change.to_open) == {"c1", "c2"}
+
+
+def test_the_leader_takes_the_place_of_another():
+    links = {"c1": True, "c2": True, "c3": True}
+    members = ("c1", "c2", "c3", "c4")
+    assert change_links(links, members=members, leader="c4").to_open == ("c4",)
+    change = change_links({**links, "c4": True}, members=members, leader="c4")
+    assert len(change.to_close) == 1
+    assert "c4" not in change.to_close
+
+
+def test_seeds_that_keep_no_log_make_room_for_those_that_do():
+    links = {"s1": True, "c1": True, "c2": True, "c3": True}
+    change = change_links(links, members=("c1", "c2", "c3"), seeds=("s1",), leader="c1")
+    assert change.to_close == ("s1",)
+
+
+@given(
+    links=st.dictionaries(st.sampled_from(NAMES_OF_MANY), st.booleans()),
+    members=st.sets(st.sampled_from(NAMES_OF_MANY)),
+    seeds=st.sets(st.sampled_from(NAMES_OF_MANY)),
+    leader=st.none() | st.sampled_from(NAMES_OF_MANY),
+    seed=st.integers(0, 100),
+)
+def test_links_that_work_are_closed_only_beyond_the_limit(
+    links, members, seeds, leader, seed
+):
+    change = change_links(links, members=members, seeds=seeds, leader=leader, seed=seed)
+    working = {i for i, connected in links.items() if connected}
+    left = working - set(change.to_close)
+    assert len(left) == min(len(working), LINK_LIMIT)
+    assert leader not in working or leader in left
+    assert not set(change.to_open) & set(links)
+    assert set(change.to_open) <= members | seeds
+    if len(left) < LINK_LIMIT and (members | seeds) - set(links):
+        assert change.to_open
+
+
+@pytest.fixture
+def many(tmp_path):
+    """Five coordinators that vote and one without a disk, and three gateways."""
+    with small_system(tmp_path, n_coordinators=3, n_gateways=3) as system:
+        for n, has_disk in ((7, True), (8, True), (9, False)):
+            newcomer = system.start_coordinator(
+                f"127.0.1.{n}:{system.control_port}",
+                is_founder=False,
+                has_disk=has_disk,
+            )
+            system.coordinators.append(newcomer)
+        wait_until(lambda: len(membership(system).voters) == 5, "five votes")
+        wait_until(lambda: len(membership(system).observers) == 1, "an observer")
+        yield system
+
+
+def membership(system):
+    return system.leader.log.member.core.state.membership
+
+
+def all_are_at(system, leader):
+    return len(leader.hub.gateways) == len(system.gateways)
+
+
+def test_all_gateways_are_connected_to_the_leader_and_to_a_new_one(many):
+    many.submit(SAFE)
+    leader = many.leader
+    wait_until(lambda: all_are_at(many, leader), "all gateways at the leader")
+    leader.stop()
+    many.coordinators.remove(leader)
+    wait_until(lambda: all_are_at(many, many.leader), "all gateways at the new leader")
+    many.submit(SAFE, make_route("/more/"), revision=2)
+
+
+def test_a_bad_version_is_found_with_the_evidence_of_all_gateways(many):
+    many.submit(make_route("/safe/", max_attempts=1))
+    many.add_server("s1", version="v1")
+    bad = many.add_server("s2", version="v2")
+    bad.misbehaviours.extend([Misbehaviour.FAIL] * 1_000)
+    many.leader.order_rollout(SERVICE, "v2", duration_ms=20_000)
+    machine = many.leader.machine
+    n = 0
+    while machine.rollouts[SERVICE].stage is not RolloutStage.ROLLED_BACK:
+        session = {NAMES.session.replace("-", "_"): f"session-{n}"}
+        many.call("/safe/1", n_gateway=n % 3, **session)
+        n += 1
+        sleep(0.005)
+        assert n < 1_500
+    assert len(bad.runs) < 50
+
+
+def test_a_coordinator_without_a_disk_serves_operators_and_servers(many):
+    many.submit(SAFE)
+    observer = many.coordinators[-1]
+    wait_until(lambda: observer.machine.revision == 1, "the configuration")
+    with pytest.raises(FailureError) as caught:
+        observer.read_routing()
+    leader = many.leader.settings.instance
+    assert caught.value.failure == NotLeader(leader=leader)
+    wait_until(lambda: len(observer.hub.peers) == 5, "the other coordinators")
+    observer.hear_server(make_server("s9"))
+    view = many.gateways[0].view
+    wait_until(lambda: "s9" in view.servers, "the server at a gateway")
--- a/test/routing/test_server_registry.py
+++ b/test/routing/test_server_registry.py
@@ -7,6 +7,7 @@
 
 from test.routing.library import make_server
 from turmericreel.membership.instance_registry import (
+    BEATS_OF_KEPT_LIST,
     GatewayInstance,
     GatewayLists,
     addresses_for,
@@ -149,3 +150,22 @@
     lists.hear("x", [gateway("a1", "a")], complete=True)
     lists.hear("x", [gateway("a2", "a")], complete=True)
     assert [g.instance for g in lists.agreed()] == ["a2"]
+
+
+def test_a_kept_list_ends_some_beats_after_another_coordinator_is_there():
+    lists = GatewayLists()
+    lists.hear("x", [gateway("a1", "a"), gateway("a2", "a")], complete=True)
+    lists.forget("x")
+    lists.hear("y", [gateway("a1", "a")], complete=True)
+    for _ in range(BEATS_OF_KEPT_LIST):
+        # Gateways that were connected to the other need a moment to come here.
+        assert [g.instance for g in lists.agreed()] == ["a1", "a2"]
+        lists.hear_beat("y")
+    assert [g.instance for g in lists.agreed()] == ["a1"]
+
+
+def test_a_gateway_that_a_coordinator_does_not_hear_any_more_is_off_its_list():
+    lists = GatewayLists()
+    lists.hear("x", [gateway("a1", "a"), gateway("a2", "a")], complete=True)
+    lists.hear("x", [], complete=False, lost=["a1"])
+    assert [g.instance for g in lists.agreed()] == ["a2"]
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-import msgspec
 from eliot import log_message
 from gevent.event import Event
 
@@ -81,8 +80,8 @@
         self.now = now
         self.gateways: dict[InstanceId, GatewayEntry] = {}
         self.gateways_of_peers: dict[InstanceId, dict[InstanceId, GatewayInstance]] = {}
-        self.changed_gateways: dict[InstanceId, GatewayInstance] = {}
-        self.changed_own_gateways: dict[InstanceId, GatewayInstance] = {}
+        self.changed_gateways: set[InstanceId] = set()
+        self.changed_own_gateways: set[InstanceId] = set()
         self.peers: dict[InstanceId, Session] = {}
         self.confirmed: dict[BackendServerId, RegisteredServer] = {}
         self.remembered = SpreadState()
@@ -189,14 +188,17 @@
         """Take in which gateways another coordinator hears."""
         known = self.gateways_of_peers.setdefault(peer, {})
         if message.complete:
-            self._note_changed(known.values())
+            self._note_changed(known)
             known.clear()
         known.update({g.instance: g for g in message.gateways})
-        self._note_changed(message.gateways)
+        for instance in message.lost:
+            known.pop(instance, None)
+        self._note_changed(g.instance for g in message.gateways)
+        self._note_changed(message.lost)
 
     def forget_peer(self, peer: InstanceId) -> None:
         """Forget what a coordinator said whose connection ended."""
-        self._note_changed(self.gateways_of_peers.pop(peer, {}).values())
+        self._note_changed(self.gateways_of_peers.pop(peer, {}))
 
     def routing_changed(self) -> None:
         """Note that there is a new configuration to tell gateways of."""
@@ -218,22 +220,25 @@
             self.rollouts_are_new = False
             self._tell_gateways(self._rollouts())
         if self.changed_own_gateways:
-            own = tuple(self.changed_own_gateways.values())
-            self.changed_own_gateways = {}
+            message = _changes(self.changed_own_gateways, self._own_gateway)
+            self.changed_own_gateways = set()
             for peer in self.peers.values():
-                peer.send(Gateways(gateways=own, complete=False))
+                peer.send(message)
         if self.changed_gateways:
-            changed = tuple(
-                self._newest(instance) or lost
-                for instance, lost in sorted(self.changed_gateways.items())
-            )
-            self.changed_gateways = {}
-            self._tell_gateways(Gateways(gateways=changed, complete=False))
+            self._tell_gateways(_changes(self.changed_gateways, self._newest))
+            self.changed_gateways = set()
 
     def send_beats(self) -> None:
         """Tell all gateways that this coordinator is alive."""
         self._tell_gateways(self.beat())
 
+    def known_gateways(self) -> set[InstanceId]:
+        """Return the gateways that any coordinator hears."""
+        instances = set(self.gateways)
+        for known in self.gateways_of_peers.values():
+            instances |= set(known)
+        return instances
+
     def evidence(self) -> list[VersionEvidence]:
         """Return the evidence of all gateways that are connected here."""
         entries = self.gateways.values()
@@ -306,15 +311,17 @@
             for known in self.gateways_of_peers.values()
             if instance in known
         ]
-        if instance in self.gateways:
-            heard.append(self.gateways[instance].status.gateway)
+        own = self._own_gateway(instance)
+        if own is not None:
+            heard.append(own)
         return max(heard, key=_newness, default=None)
 
+    def _own_gateway(self, instance: InstanceId) -> GatewayInstance | None:
+        entry = self.gateways.get(instance)
+        return entry.status.gateway if entry is not None else None
+
     def _all_gateways(self) -> Gateways:
-        instances = set(self.gateways)
-        for known in self.gateways_of_peers.values():
-            instances |= set(known)
-        gateways = tuple(self._newest(i) for i in sorted(instances))
+        gateways = tuple(self._newest(i) for i in sorted(self.known_gateways()))
         return Gateways(gateways=gateways, complete=True)
 
     def _gateways_changed(self, gateway: GatewayInstance, change: str) -> None:
@@ -324,16 +331,11 @@
             change=change,
             takes_clients=gateway.takes_clients,
         )
-        if gateway.instance not in self.gateways:
-            gateway = msgspec.structs.replace(gateway, takes_clients=False)
-        self.changed_own_gateways[gateway.instance] = gateway
-        self._note_changed([gateway])
-
-    def _note_changed(self, gateways: Iterable[GatewayInstance]) -> None:
-        for gateway in gateways:
-            # What is told of it if nobody hears it any more by then.
-            lost = msgspec.structs.replace(gateway, takes_clients=False)
-            self.changed_gateways[gateway.instance] = lost
+        self.changed_own_gateways.add(gateway.instance)
+        self._note_changed([gateway.instance])
+
+    def _note_changed(self, instances: Iterable[InstanceId]) -> None:
+        self.changed_gateways.update(instances)
         self.changed.set()
 
     def _tell_of_servers(self, servers: list[RegisteredServer]) -> None:
@@ -357,6 +359,18 @@
             entry.session.send(message)
 
 
+def _changes(
+    instances: set[InstanceId],
+    newest: Callable[[InstanceId], GatewayInstance | None],
+) -> Gateways:
+    known = {instance: newest(instance) for instance in sorted(instances)}
+    return Gateways(
+        gateways=tuple(g for g in known.values() if g is not None),
+        complete=False,
+        lost=tuple(i for i, gateway in known.items() if gateway is None),
+    )
+
+
 def _newness(gateway: GatewayInstance) -> tuple:
     # One that was asked to stop never takes clients again.
     return (gateway.incarnation, not gateway.takes_clients)
--- a/turmericreel/coordinator/rollout_task.py
+++ b/turmericreel/coordinator/rollout_task.py
@@ -113,9 +113,12 @@
             )
 
     def _seen_by_all(self, rollout: Rollout) -> bool:
-        entries = self.hub.gateways.values()
+        entries = self.hub.gateways
+        # A new leader is not connected to all gateways at once.
+        if self.hub.known_gateways() - set(entries):
+            return False
         seen = rollout.without_sessions()
-        return all(seen in entry.status.rollouts_seen for entry in entries)
+        return all(seen in entry.status.rollouts_seen for entry in entries.values())
 
     def _span_of(self, rollout: Rollout) -> RolloutSpan:
         span = self.spans.get(rollout.service)
--- /dev/null
+++ b/turmericreel/decisions/coordinator_choice.py
@@ -0,0 +1,61 @@
+"""Decides which coordinators a gateway keeps connections to.
+
+Evidence, work and usage are summed up at the leader, so that one connection is to it.
+The others hear of configuration and servers as soon, and are there when it is lost.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+from random import Random
+
+from turmericreel.model.ids import InstanceId
+
+# The loss of any two coordinators at once leaves a connection.
+LINK_LIMIT = 3
+
+
+@dataclass(frozen=True, kw_only=True)
+class LinkChange:
+    """Connections to open and to close."""
+
+    to_open: tuple[InstanceId, ...]
+    to_close: tuple[InstanceId, ...]
+
+
+def choose_links(
+    links: Mapping[InstanceId, bool],
+    *,
+    members: Collection[InstanceId],
+    seeds: Collection[InstanceId],
+    leader: InstanceId | None,
+    rng: Random,
+) -> LinkChange:
+    """Return what to change.
+
+    Parameters
+    ----------
+    links : mapping of InstanceId to bool
+        Those that are open, and whether each is connected.
+    members : collection of InstanceId
+        Coordinators that keep the log, as last heard; none before anything was heard.
+    seeds : collection of InstanceId
+        Coordinators that the settings name.
+    leader : InstanceId or None
+        Of the members, as far as known.
+    """
+    known = set(members) | set(seeds)
+    ranked = rng.sample(sorted(known | set(links)), len(known | set(links)))
+    # The leader first, then members, in random order otherwise.
+    ranked.sort(key=lambda i: (i != leader, i not in members))
+    working = [i for i in ranked if links.get(i)]
+    kept = working[:LINK_LIMIT]
+    to_close = working[LINK_LIMIT:]
+    idle = [i for i in ranked if i in links and not links[i]]
+    is_enough = len(kept) == LINK_LIMIT
+    to_close += [i for i in idle if i not in known or (is_enough and i != leader)]
+    to_open = [i for i in ranked if i in known and i not in links]
+    if is_enough:
+        to_open = [i for i in to_open if i == leader]
+    else:
+        to_open = to_open[: LINK_LIMIT - len(kept)]
+    return LinkChange(to_open=tuple(to_open), to_close=tuple(to_close))
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -12,6 +12,7 @@
 from gevent.event import Event
 from gevent.socket import create_connection
 
+from turmericreel.decisions.coordinator_choice import choose_links
 from turmericreel.gateway.view import GatewayView
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import InstanceId
@@ -35,7 +36,6 @@
 WORK_INTERVAL_S = 0.1
 # A coordinator hears each of many gateways less often, so that the sum stays bounded.
 PAUSE_EACH_S = 0.002
-LINK_LIMIT = 3
 CHOOSE_INTERVAL_S = 0.5
 
 
@@ -81,6 +81,7 @@
     def stop(self) -> None:
         """Close the connection."""
         self.task.kill()
+        self.view.forget(str(self.address))
 
     def _run(self) -> None:
         while True:
@@ -203,32 +204,35 @@
             link.report_now()
 
     def choose(self) -> None:
-        """Open links to coordinators that are known, up to the limit."""
-        known = self.view.coordinators | set(self.seeds())
-        for instance in set(self.links) - known:
-            if not self.links[instance].connected:
-                self.links.pop(instance).stop()
-        working = [i for i, link in self.links.items() if link.connected]
-        for instance in self.rng.sample(sorted(known), len(known)):
-            # Beside those that work, all others may be tried: one may come back.
-            if len(working) >= LINK_LIMIT:
-                self._drop_idle_links()
-                return
-            if instance not in self.links:
-                self._open(instance)
+        """Open and close links."""
+        change = choose_links(
+            {instance: link.connected for instance, link in self.links.items()},
+            members=self.view.coordinators,
+            seeds=self.seeds(),
+            leader=self.view.leader,
+            rng=self.rng,
+        )
+        for instance in change.to_close:
+            self.links.pop(instance).stop()
+        for instance in change.to_open:
+            self._open(instance)
 
     def _open(self, instance: InstanceId) -> None:
         self.links[instance] = CoordinatorLink(
             address=self.address_of(instance),
             view=self.view,
             status=self.status,
-            work=self.work,
+            work=lambda: self._work_for(instance),
             on_change=self.on_change,
         )
 
-    def _drop_idle_links(self) -> None:
-        for instance in [i for i, k in self.links.items() if not k.connected]:
-            self.links.pop(instance).stop()
+    def _work_for(self, instance: InstanceId) -> GatewayWork:
+        # Sums over all gateways come from the leader, as all are connected to it.
+        leader = self.view.leader
+        link = self.links.get(leader) if leader is not None else None
+        if link is not None and link.connected and instance != leader:
+            return GatewayWork(work_ms={})
+        return self.work()
 
     def _run(self) -> None:
         while True:
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -71,6 +71,8 @@
         self.gateway_lists = GatewayLists()
         self.gateways: tuple[GatewayInstance, ...] = ()
         self.coordinators: set[InstanceId] = set()
+        self.leader: InstanceId | None = None
+        self.leader_term = 0
         self.changed = Event()
 
     @property
@@ -109,7 +111,10 @@
                 return self._hear_rollouts(message)
             case Gateways():
                 self.gateway_lists.hear(
-                    source, message.gateways, complete=message.complete
+                    source,
+                    message.gateways,
+                    complete=message.complete,
+                    lost=message.lost,
                 )
                 before, self.gateways = self.gateways, self.gateway_lists.agreed()
                 return self.gateways != before
@@ -118,10 +123,18 @@
             case ServerWork():
                 self.on_work(message.work_ms)
             case Beat():
-                if message.has_leader:
-                    self.coordinators = set(message.coordinators)
+                return self._hear_beat(message, source)
         return False
 
+    def _hear_beat(self, message: Beat, source: str) -> bool:
+        self.gateway_lists.hear_beat(source)
+        before, self.gateways = self.gateways, self.gateway_lists.agreed()
+        # One that was cut off may go on naming the leader that it knew.
+        if message.leader is not None and message.term >= self.leader_term:
+            self.leader, self.leader_term = message.leader, message.term
+            self.coordinators = set(message.coordinators)
+        return self.gateways != before
+
     def servers_of(self, service: ServiceName) -> list[RegisteredServer]:
         """Return the usable servers of a service."""
         return self.by_service.get(service, [])
--- a/turmericreel/membership/instance_registry.py
+++ b/turmericreel/membership/instance_registry.py
@@ -9,6 +9,8 @@
 ADDRESS_LIMIT = 64
 # Fewer in a client's own data centre leave too little choice after a failure.
 LEAST_LOCAL = 2
+# Gateways come back to a coordinator that was started again within two beats.
+BEATS_OF_KEPT_LIST = 3
 
 
 class GatewayInstance(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -54,20 +56,44 @@
 
     def __init__(self):
         self.by_source: dict[str, dict[InstanceId, GatewayInstance]] = {}
+        self.kept_source: str | None = None
+        self.n_beats_since = 0
 
     def hear(
-        self, source: str, gateways: Iterable[GatewayInstance], *, complete: bool
+        self,
+        source: str,
+        gateways: Iterable[GatewayInstance],
+        *,
+        complete: bool,
+        lost: Iterable[InstanceId] = (),
     ) -> None:
         """Take in what one coordinator says."""
+        if source == self.kept_source:
+            self.kept_source = None
         known = self.by_source.setdefault(source, {})
         if complete:
             known.clear()
         known.update({gateway.instance: gateway for gateway in gateways})
+        for instance in lost:
+            known.pop(instance, None)
 
     def forget(self, source: str) -> None:
-        """Drop what a coordinator said, unless nobody else says anything."""
+        """Drop what a coordinator said, or keep it for a while if it is the last."""
+        if source not in self.by_source or source == self.kept_source:
+            return
         if len(self.by_source) > 1:
-            self.by_source.pop(source, None)
+            del self.by_source[source]
+        else:
+            self.kept_source, self.n_beats_since = source, 0
+
+    def hear_beat(self, source: str) -> None:
+        """Take in that a coordinator is alive; a kept list ends some beats later."""
+        if self.kept_source in (None, source) or source not in self.by_source:
+            return
+        self.n_beats_since += 1
+        if self.n_beats_since >= BEATS_OF_KEPT_LIST:
+            del self.by_source[self.kept_source]
+            self.kept_source = None
 
     def agreed(self) -> tuple[GatewayInstance, ...]:
         """Return the gateways that take clients."""
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -68,10 +68,19 @@
 
 
 class Beat(RoutingMessage):
-    """Says that the sender is alive, which coordinators it knows, and its quorum."""
+    """Says that the sender is alive, which coordinators it knows, and who leads.
+
+    Attributes
+    ----------
+    leader : InstanceId or None
+        None while the sender knows of none.
+    term : int
+        Of the leader; a higher one is newer.
+    """
 
     coordinators: tuple[InstanceId, ...]
-    has_leader: bool
+    leader: InstanceId | None
+    term: int
 
 
 class RoutingDocument(RoutingMessage):
@@ -90,11 +99,15 @@
 class Gateways(RoutingMessage):
     """Gateways that are new or changed, or all of them.
 
-    One that was lost is told of once, as taking no clients.
+    Attributes
+    ----------
+    lost : tuple of InstanceId
+        Those that the sender does not hear any more.
     """
 
     gateways: tuple[GatewayInstance, ...]
     complete: bool
+    lost: tuple[InstanceId, ...] = ()
 
 
 class Rollouts(RoutingMessage):
