Leave servers alone that fail at several gateways

Cause: a server that answers failures while it reports that it is well was chosen as often as the others, or more, as it looked idle; gateways left a server alone only for connections that break, each by what it saw itself. With many gateways each sends one server a request every some ten seconds, too few to learn from.

Ruled out: longer pauses at each gateway (every gateway still pays for its own lesson); health checks (they are what is wrong, and dear).

Change: gateways tell the leader, with the work that servers have, how attempts ended; decisions/server_health.py pools them over five seconds and suspends a server that fails at two gateways or more, in three attempts in ten, and three times as often as the other servers of its version; at most a third of these, for 5 s and twice as long each time. An answer that says that the server failed, or that does not end, is a failure as much as a connection that breaks, and any answer ends a row of failures.

--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 from gevent.event import Event
 
+from turmericreel.decisions.server_health import ServerHealth
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.ids import BackendServerId, InstanceId
@@ -21,6 +22,7 @@
     Beat,
     Gateways,
     GatewayStatus,
+    GatewayWork,
     Rollouts,
     RoutingDocument,
     RoutingMessage,
@@ -86,6 +88,8 @@
         self.confirmed: dict[BackendServerId, RegisteredServer] = {}
         self.remembered = SpreadState()
         self.changed = Event()
+        self.health = ServerHealth()
+        self.suspended: set[BackendServerId] = set()
         self.work_told = False
         self.routing_is_new = False
         self.rollouts_are_new = False
@@ -158,13 +162,14 @@
     def hear_work(
         self,
         instance: InstanceId,
-        work_ms: dict[BackendServerId, float],
+        work: GatewayWork,
         session: Session,
     ) -> None:
-        """Take in what servers have to read for a gateway."""
+        """Take in what servers do for a gateway."""
         entry = self.gateways.get(instance)
         if entry is not None and entry.session is session:
-            entry.work_ms = work_ms
+            entry.work_ms = work.work_ms
+            self.health.hear(instance, work.outcomes, now=self.now())
 
     def remove_gateway(self, instance: InstanceId, session: Session) -> None:
         """Forget a gateway whose connection ended."""
@@ -250,14 +255,28 @@
         return tuple(sorted({s for e in entries for s in e.status.sessions}))
 
     def spread_work(self) -> None:
-        """Tell all gateways what servers have to read for all of them."""
+        """Tell all gateways what servers do for all of them."""
         total: dict[BackendServerId, float] = {}
         for entry in self.gateways.values():
             for server, work_ms in entry.work_ms.items():
                 total[server] = total.get(server, 0.0) + work_ms
-        if total or self.work_told:
-            self.work_told = bool(total)
-            self._tell_gateways(ServerWork(work_ms=total))
+        suspended = self._suspended()
+        if total or suspended or self.work_told:
+            self.work_told = bool(total or suspended)
+            self._tell_gateways(ServerWork(work_ms=total, suspended=suspended))
+
+    def _suspended(self) -> tuple[BackendServerId, ...]:
+        usable = (s for s in self.registry.servers.values() if s.is_usable)
+        suspended = self.health.suspended(usable, now=self.now())
+        if suspended != self.suspended:
+            log_message(
+                "coordinator:suspended",
+                servers=sorted(suspended),
+                added=sorted(suspended - self.suspended),
+                ended=sorted(self.suspended - suspended),
+            )
+            self.suspended = suspended
+        return tuple(sorted(suspended))
 
     def usage_to_record(self) -> tuple[UsageBatch, ...]:
         """Return the batches that are not recorded; confirm those that are."""
--- a/turmericreel/coordinator/sessions.py
+++ b/turmericreel/coordinator/sessions.py
@@ -125,7 +125,7 @@
                         self.hub.hear_status(message, session)
                     case GatewayWork():
                         instance = hello.gateway.instance
-                        self.hub.hear_work(instance, message.work_ms, session)
+                        self.hub.hear_work(instance, message, session)
         finally:
             session.stop()
             self.hub.remove_gateway(hello.gateway.instance, session)
--- /dev/null
+++ b/turmericreel/decisions/server_health.py
@@ -0,0 +1,166 @@
+"""Decides which servers are left alone, from what all gateways saw of them.
+
+Load: many gateways that each send little to any one server, and servers that fail part
+or all of their requests while they report that they are well.  What one gateway sees
+is too little, and waiting for its own failures costs every gateway a few requests.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from turmericreel.model.ids import BackendServerId, InstanceId
+from turmericreel.model.registered_server import RegisteredServer
+
+# Several requests' time at the usual rate of one server.
+WINDOW_S = 5.0
+# Fewer failures may be chance, or the fault of the requests.
+LEAST_FAILED = 3
+# One gateway alone may be cut off from servers that are well.
+LEAST_GATEWAYS = 2
+FAILED_FRACTION = 0.3
+# How much more often than the others it must fail: where all fail, by load or by what
+# is asked of them, none is left alone.
+FACTOR_OVER_OTHERS = 3.0
+# A server that fails again is left alone twice as long each time.
+FIRST_SUSPENSION_S = 5.0
+LONGEST_SUSPENSION_S = 40.0
+# Time without a suspension after which earlier ones are forgotten.
+FORGET_S = 60.0
+# Part of the servers of one version that may be left alone, so that the others are not
+# overrun.
+SUSPENDED_FRACTION = 0.34
+
+
+class ServerOutcomes(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Attempts at one server that ended since the last report."""
+
+    n_answered: int = 0
+    n_failed: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Seen:
+    """One gateway's report of one server, and until when it counts."""
+
+    deadline: float
+    gateway: InstanceId
+    outcomes: ServerOutcomes
+
+
+@dataclass(kw_only=True)
+class ServerRecord:
+    """What is remembered of one server; deadlines in seconds of one clock."""
+
+    seen: deque[Seen] = field(default_factory=deque)
+    n_suspensions: int = 0
+    suspension_deadline: float = 0.0
+    forget_deadline: float = 0.0
+
+    def forget_old(self, *, now: float) -> None:
+        """Drop reports that do not count any more."""
+        while self.seen and self.seen[0].deadline <= now:
+            self.seen.popleft()
+
+    @property
+    def n_answered(self) -> int:
+        """Attempts that were answered."""
+        return sum(s.outcomes.n_answered for s in self.seen)
+
+    @property
+    def n_failed(self) -> int:
+        """Attempts that failed."""
+        return sum(s.outcomes.n_failed for s in self.seen)
+
+    @property
+    def n_gateways(self) -> int:
+        """Gateways that saw a failure."""
+        return len({s.gateway for s in self.seen if s.outcomes.n_failed})
+
+
+class ServerHealth:
+    """Pools outcomes of attempts and suspends servers that fail clearly."""
+
+    def __init__(self):
+        self.records: dict[BackendServerId, ServerRecord] = {}
+
+    def hear(
+        self,
+        gateway: InstanceId,
+        outcomes: dict[BackendServerId, ServerOutcomes],
+        *,
+        now: float,
+    ) -> None:
+        """Take in what one gateway saw since its last report."""
+        for server, seen in outcomes.items():
+            record = self.records.setdefault(server, ServerRecord())
+            record.seen.append(
+                Seen(deadline=now + WINDOW_S, gateway=gateway, outcomes=seen)
+            )
+
+    def suspended(
+        self, servers: Iterable[RegisteredServer], *, now: float
+    ) -> set[BackendServerId]:
+        """Return the servers to leave alone now.
+
+        Parameters
+        ----------
+        servers : iterable of RegisteredServer
+            All that are usable; others are forgotten.
+        now : float
+            Seconds on the clock of the reports.
+        """
+        groups: dict[tuple, list[BackendServerId]] = defaultdict(list)
+        for server in servers:
+            groups[(server.service, server.version)].append(server.server)
+        present = {server for group in groups.values() for server in group}
+        for gone in set(self.records) - present:
+            del self.records[gone]
+        suspended: set[BackendServerId] = set()
+        for group in groups.values():
+            suspended |= self._suspended_of(group, now)
+        return suspended
+
+    def _suspended_of(
+        self, group: list[BackendServerId], now: float
+    ) -> set[BackendServerId]:
+        limit = int(len(group) * SUSPENDED_FRACTION)
+        records = {s: self.records[s] for s in group if s in self.records}
+        for record in records.values():
+            record.forget_old(now=now)
+        chosen = {s for s, r in records.items() if now < r.suspension_deadline}
+        all_answered = sum(r.n_answered for r in records.values())
+        all_failed = sum(r.n_failed for r in records.values())
+        failing = {}
+        for server, record in records.items():
+            if server in chosen or record.n_failed < LEAST_FAILED:
+                continue
+            of_others = _fraction(
+                all_failed - record.n_failed, all_answered - record.n_answered
+            )
+            fraction = _fraction(record.n_failed, record.n_answered)
+            least = max(FAILED_FRACTION, FACTOR_OVER_OTHERS * of_others)
+            if fraction >= least and record.n_gateways >= LEAST_GATEWAYS:
+                failing[server] = fraction
+        for server in sorted(failing, key=lambda s: (-failing[s], s)):
+            if len(chosen) >= limit:
+                break
+            _suspend(records[server], now)
+            chosen.add(server)
+        return chosen
+
+
+def _fraction(n_failed: int, n_answered: int) -> float:
+    return n_failed / max(n_failed + n_answered, 1)
+
+
+def _suspend(record: ServerRecord, now: float) -> None:
+    if now >= record.forget_deadline:
+        record.n_suspensions = 0
+    duration_s = min(FIRST_SUSPENSION_S * 2**record.n_suspensions, LONGEST_SUSPENSION_S)
+    record.n_suspensions += 1
+    record.suspension_deadline = now + duration_s
+    record.forget_deadline = record.suspension_deadline + FORGET_S
+    record.seen.clear()
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -113,16 +113,24 @@
                 return self._first_events(request, service, streamed, passed, progress)
             answer = self._whole(request, passed)
             failed = passed.status >= SERVER_FAULT
-            if not failed:
+            if failed:
+                self._leave_alone(server)
+            else:
+                self.chooser.loads.succeeded(server.server)
                 self.starter.count_answer(request, server)
             return answer
         except FailureError:
             failed = True
+            if attempt is not None:
+                self._leave_alone(server)
             raise
         finally:
             if attempt is not None:
                 attempt.end(failed=failed)
 
+    def _leave_alone(self, server: RegisteredServer) -> None:
+        self.chooser.loads.failed(server.server, now=self.clock.monotonic())
+
     def _consider_model(
         self,
         request: ClientRequest,
@@ -209,10 +217,9 @@
                 detail = str(error)
             finally:
                 attempt.end(failed=failed)
+            self._leave_alone(attempt.server)
             if not delivered:
                 raise unknown_outcome(request, detail)
-            now = self.clock.monotonic()
-            self.chooser.loads.failed(attempt.server.server, now=now)
             attempt, passed = self._resume(request, service, progress, splitter, detail)
             splitter = EventSplitter(after_id=splitter.last_id)
 
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -80,7 +80,7 @@
         self.view = GatewayView(
             codec=codec,
             on_usage_recorded=self.usage.recorded,
-            on_work=lambda total: self.chooser.work.hear_total(total),
+            on_work=lambda work: self.chooser.hear_work(work),
         )
         self.evidence = EvidenceCounter()
         rng = SystemRandom()
@@ -136,7 +136,7 @@
             address_of=lambda i: internal_address(i, settings.internal_port),
             view=self.view,
             status=self.status,
-            work=lambda: GatewayWork(work_ms=self.chooser.work.report()),
+            work=self._work,
             on_change=self._view_changed,
             rng=rng,
         )
@@ -185,6 +185,12 @@
             usage=self.usage.report(),
         )
 
+    def _work(self) -> GatewayWork:
+        return GatewayWork(
+            work_ms=self.chooser.work.report(),
+            outcomes=self.chooser.loads.take_outcomes(),
+        )
+
     def _sessions_to_bind(self) -> tuple[int, ...]:
         preparing = {
             service
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -140,7 +140,7 @@
 
     def _report_work(self, stream: FrameStream) -> None:
         """Tell of work until the next status is due."""
-        told: dict = {}
+        told = False
         n_gateways = len(self.view.gateways)
         pause_s = min(
             max(WORK_INTERVAL_S, n_gateways * PAUSE_EACH_S), STATUS_INTERVAL_S
@@ -149,9 +149,10 @@
             if self.report_due.wait(timeout=pause_s):
                 return
             work = self.work()
-            if work.work_ms or told:
+            is_any = bool(work.work_ms or work.outcomes)
+            if is_any or told:
                 stream.send(work)
-            told = work.work_ms
+            told = is_any
 
 
 class CoordinatorLinks:
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -19,6 +19,7 @@
 from turmericreel.model.ids import BackendServerId, DataCentreId, ServiceName
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import ModelName
+from turmericreel.protocols.routing_messages import ServerWork
 from turmericreel.util.clock import Clock
 
 # Servers that nobody knows report within a heartbeat, which is about a second.
@@ -110,6 +111,11 @@
             rng=self.rng,
         )
 
+    def hear_work(self, work: ServerWork) -> None:
+        """Take in what servers do for all gateways."""
+        self.work.hear_total(work.work_ms)
+        self.loads.suspend(work.suspended, now=self.clock.monotonic())
+
     def note_session(
         self, request: ClientRequest, server: RegisteredServer, now: float
     ) -> None:
--- a/turmericreel/gateway/server_loads.py
+++ b/turmericreel/gateway/server_loads.py
@@ -1,7 +1,11 @@
 """What a gateway knows of each server's load and of its late failures."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
+from turmericreel.decisions.server_health import ServerOutcomes
 from turmericreel.model.ids import BackendServerId
 
 # A reported load says little about the present after a few requests' time.
@@ -9,6 +13,8 @@
 # A server that fails is left alone for a while that doubles with each failure in a row.
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 4.0
+# Coordinators repeat several times a second which servers are suspended.
+SUSPENSION_VALID_S = 2.0
 
 
 @dataclass(kw_only=True)
@@ -46,6 +52,9 @@
 
     def __init__(self):
         self.loads: dict[BackendServerId, ServerLoad] = {}
+        self.outcomes: dict[BackendServerId, ServerOutcomes] = {}
+        self.suspended: frozenset[BackendServerId] = frozenset()
+        self.suspended_deadline = 0.0
 
     def of(self, server: BackendServerId) -> ServerLoad:
         """Return a server's load."""
@@ -53,8 +62,20 @@
 
     def is_paused(self, server: BackendServerId, *, now: float) -> bool:
         """Tell whether a server failed so lately that it should be left alone."""
+        if server in self.suspended and now < self.suspended_deadline:
+            return True
         return now < self.of(server).pause_deadline
 
+    def suspend(self, servers: Iterable[BackendServerId], *, now: float) -> None:
+        """Take in which servers fail, as all gateways together see them."""
+        self.suspended = frozenset(servers)
+        self.suspended_deadline = now + SUSPENSION_VALID_S
+
+    def take_outcomes(self) -> dict[BackendServerId, ServerOutcomes]:
+        """Return how attempts ended since this was asked last."""
+        taken, self.outcomes = self.outcomes, {}
+        return taken
+
     def report(
         self, server: BackendServerId, *, n_running: int, n_waiting: int, now: float
     ) -> None:
@@ -65,11 +86,15 @@
         load.report_deadline = now + REPORT_VALID_S
 
     def succeeded(self, server: BackendServerId) -> None:
-        """Forget earlier failures."""
+        """Count an answer, and forget earlier failures."""
         self.of(server).n_failures = 0
+        seen = self.outcomes.get(server, ServerOutcomes())
+        self.outcomes[server] = replace(seen, n_answered=seen.n_answered + 1)
 
     def failed(self, server: BackendServerId, *, now: float) -> None:
-        """Leave a server alone for a while."""
+        """Count a failure, and leave the server alone for a while."""
+        seen = self.outcomes.get(server, ServerOutcomes())
+        self.outcomes[server] = replace(seen, n_failed=seen.n_failed + 1)
         load = self.of(server)
         pause_s = min(FIRST_PAUSE_S * 2**load.n_failures, LONGEST_PAUSE_S)
         load.n_failures += 1
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -51,7 +51,7 @@
     on_usage_recorded : callable
         Told of the incarnation and number of a batch of usage that is recorded.
     on_work : callable
-        Told of the prompts that servers have to read for all gateways.
+        Told of what servers do for all gateways.
     """
 
     def __init__(
@@ -59,7 +59,7 @@
         *,
         codec: RoutingCodec,
         on_usage_recorded: Callable[[Incarnation, int], None],
-        on_work: Callable[[dict[BackendServerId, float]], None],
+        on_work: Callable[[ServerWork], None],
     ):
         self.codec = codec
         self.on_usage_recorded = on_usage_recorded
@@ -121,7 +121,7 @@
             case UsageRecorded():
                 self.on_usage_recorded(message.incarnation, message.number)
             case ServerWork():
-                self.on_work(message.work_ms)
+                self.on_work(message)
             case Beat():
                 return self._hear_beat(message, source)
         return False
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from turmericreel.decisions.server_health import ServerOutcomes
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.model.ids import BackendServerId, Incarnation, InstanceId, Revision
 from turmericreel.model.registered_server import RegisteredServer
@@ -43,15 +44,33 @@
 
 
 class GatewayWork(RoutingMessage):
-    """Milliseconds of prompts that servers have to read for one gateway."""
+    """What servers do for one gateway.
+
+    Attributes
+    ----------
+    work_ms : dict of BackendServerId to float
+        Milliseconds of prompts that they have to read.
+    outcomes : dict of BackendServerId to ServerOutcomes
+        How attempts ended since the last message.
+    """
 
     work_ms: dict[BackendServerId, float]
+    outcomes: dict[BackendServerId, ServerOutcomes] = {}
 
 
 class ServerWork(RoutingMessage):
-    """Milliseconds of prompts that servers have to read for all gateways."""
+    """What servers do for all gateways.
+
+    Attributes
+    ----------
+    work_ms : dict of BackendServerId to float
+        Milliseconds of prompts that they have to read.
+    suspended : tuple of BackendServerId
+        Servers that are left alone for now, as they fail.
+    """
 
     work_ms: dict[BackendServerId, float]
+    suspended: tuple[BackendServerId, ...] = ()
 
 
 class UsageRecorded(RoutingMessage):
