Check the log's schema, and show suspended servers

Cause: the table of log lines in OPERATIONS.md named some fields in words and left lines out (answer_of_another, slow_session, usage_not_recorded, cache_unusable and others), and nothing held it to the code; log:dropped had no timestamp.

Change: one row a type with all its fields; test/routing/test_log_schema.py compares it with the calls in the sources, both ways. Gateways log and count the servers that are suspended; `explain` shows them as a belief.

--- /dev/null
+++ b/test/routing/test_log_schema.py
@@ -0,0 +1,64 @@
+"""The log lines of gateways and coordinators are those that the documentation lists."""
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+import turmericreel
+
+ROOT = Path(turmericreel.__file__).parent
+PAGE = ROOT.parent / "docs" / "OPERATIONS.md"
+# Everything that a gateway or a coordinator runs and that writes lines of its own.
+SOURCES = [
+    *ROOT.glob("gateway/*.py"),
+    *ROOT.glob("coordinator/*.py"),
+    *ROOT.glob("platform/*.py"),
+    *ROOT.glob("coordination/raft/*.py"),
+    ROOT / "state" / "spread_cache.py",
+]
+ROW = re.compile(r"^\| `(\w+:\w+)` \| .* \| (.*) \|$", re.MULTILINE)
+# Built as a plain record by the task that writes the lines.
+NOT_A_CALL = {"log:dropped"}
+
+
+def message_types(node: ast.expr) -> list[str]:
+    """Return the types that the first argument of a call may be."""
+    if isinstance(node, ast.IfExp):
+        return message_types(node.body) + message_types(node.orelse)
+    assert isinstance(node, ast.Constant), ast.unparse(node)
+    return [node.value]
+
+
+def written() -> dict[str, set[str]]:
+    """Return the fields of each type that the sources write."""
+    found: dict[str, set[str]] = {}
+    for path in SOURCES:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            if getattr(node.func, "id", "") == "log_message":
+                for name in message_types(node.args[0]):
+                    fields = {keyword.arg for keyword in node.keywords}
+                    found.setdefault(name, set()).update(fields)
+    return found
+
+
+def documented() -> dict[str, set[str]]:
+    """Return the fields of each type that the page lists."""
+    return {
+        name: set(re.findall(r"`(\w+)`", fields))
+        for name, fields in ROW.findall(PAGE.read_text())
+    }
+
+
+def test_every_line_is_documented_with_all_its_fields():
+    assert written() == {n: f for n, f in documented().items() if n not in NOT_A_CALL}
+
+
+@pytest.mark.parametrize("name", sorted(written()))
+def test_lines_about_a_request_carry_its_id(name):
+    fields = written()[name]
+    if name.startswith("gateway:") and {"route", "tried", "asked", "after"} & fields:
+        assert "request" in fields
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -122,6 +122,7 @@
         collector = GatewayCollector(
             view=self.view,
             n_running=lambda: self.application.n_running,
+            n_suspended=lambda: self.chooser.loads.n_suspended(now=clock.monotonic()),
             n_log_lines_dropped=n_log_lines_dropped,
         )
         registry.register(collector)
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -82,6 +82,8 @@
     view : GatewayView
     n_running : callable
         Returns the requests under way.
+    n_suspended : callable
+        Returns the servers that are left alone.
     n_log_lines_dropped : callable
     """
 
@@ -90,10 +92,12 @@
         *,
         view: GatewayView,
         n_running: Callable[[], int],
+        n_suspended: Callable[[], int],
         n_log_lines_dropped: Callable[[], int],
     ):
         self.view = view
         self.n_running = n_running
+        self.n_suspended = n_suspended
         self.n_log_lines_dropped = n_log_lines_dropped
 
     def collect(self) -> Iterator[Metric]:
@@ -113,6 +117,11 @@
             "Gateways that take clients, as far as known.",
             value=sum(g.takes_clients for g in self.view.gateways),
         )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_suspended",
+            "Servers that are left alone as they fail at several gateways.",
+            value=self.n_suspended(),
+        )
         servers = GaugeMetricFamily(
             "turmericreel_gateway_servers",
             "Registered servers by their state.",
--- a/turmericreel/gateway/server_loads.py
+++ b/turmericreel/gateway/server_loads.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from eliot import log_message
 from msgspec.structs import replace
 
 from turmericreel.decisions.server_health import ServerOutcomes
@@ -68,9 +69,15 @@
 
     def suspend(self, servers: Iterable[BackendServerId], *, now: float) -> None:
         """Take in which servers fail, as all gateways together see them."""
-        self.suspended = frozenset(servers)
+        before, self.suspended = self.suspended, frozenset(servers)
+        if self.suspended != before:
+            log_message("gateway:suspended", servers=sorted(self.suspended))
         self.suspended_deadline = now + SUSPENSION_VALID_S
 
+    def n_suspended(self, *, now: float) -> int:
+        """Return how many servers are left alone for what all gateways saw."""
+        return len(self.suspended) if now < self.suspended_deadline else 0
+
     def take_outcomes(self) -> dict[BackendServerId, ServerOutcomes]:
         """Return how attempts ended since this was asked last."""
         taken, self.outcomes = self.outcomes, {}
--- a/turmericreel/reports/explain.py
+++ b/turmericreel/reports/explain.py
@@ -18,6 +18,7 @@
         "gateway:configuration",
         "gateway:server",
         "gateway:rollout",
+        "gateway:suspended",
         "gateway:coordinator_lost",
         "gateway:coordinator_connected",
         "log:dropped",
--- a/turmericreel/util/bounded_log.py
+++ b/turmericreel/util/bounded_log.py
@@ -119,6 +119,7 @@
     def _tell_of_dropped(self) -> None:
         if self.n_dropped > self.n_dropped_logged:
             line = {
+                "timestamp": time(),
                 "message_type": "log:dropped",
                 "n_dropped": self.n_dropped - self.n_dropped_logged,
             }
