--- a/turmericreel/util/bounded_log.py
+++ b/turmericreel/util/bounded_log.py
@@ -7,6 +7,7 @@
 import os
 from collections import deque
 from collections.abc import Collection
+from time import time
 
 import msgspec
 from gevent import Greenlet, get_hub, sleep, spawn
