Send what may run once only on connections that hardly rested

Cause: a server may forget an idle connection without notice, so that the next request on it is reset. A request that may run once only cannot be repeated then, and the failure was counted against a server that was well.

Ruled out: new connections for every request (connections that are in use are sound, and each new one costs the server a millisecond).

Change: such requests take connections that rested for at most 0.2 s; other requests take older ones too, and a failure on one that rested is not held against the server.

Tests: test/routing/test_forgotten_connections.py.

--- /dev/null
+++ b/test/routing/test_forgotten_connections.py
@@ -0,0 +1,48 @@
+"""Servers that forget idle connections lose no request that may run once only."""
+
+import pytest
+from gevent import sleep
+
+from test.routing.library import make_route
+from test.routing.small_system import small_system
+from turmericreel.model.routing import RouteKind
+
+FORGET_AFTER_S = 0.25
+SAFE = make_route("/safe/")
+ONCE = make_route("/once/", kind=RouteKind.UNSAFE)
+
+
+@pytest.fixture
+def system(tmp_path):
+    with small_system(tmp_path) as running:
+        running.submit(SAFE, ONCE)
+        running.add_server("s1").forget_after_s = FORGET_AFTER_S
+        yield running
+
+
+def ports(system):
+    return [environ["REMOTE_PORT"] for environ in system.servers["s1"].seen]
+
+
+def test_a_request_that_may_run_once_is_not_sent_on_a_connection_that_rested(system):
+    for _ in range(5):
+        assert system.call("/once/1")[0] == 200
+        sleep(FORGET_AFTER_S + 0.05)
+    assert len(system.servers["s1"].runs) == 5
+
+
+def test_connections_in_use_are_shared_by_all_requests(system):
+    for _ in range(3):
+        assert system.call("/once/1")[0] == 200
+        assert system.call("/safe/1")[0] == 200
+    assert len(set(ports(system))) == 1
+
+
+def test_a_forgotten_connection_says_nothing_about_the_server(system):
+    system.add_server("s2").forget_after_s = FORGET_AFTER_S
+    loads = system.gateways[0].chooser.loads
+    for _ in range(6):
+        assert system.call("/safe/1")[0] == 200
+        sleep(FORGET_AFTER_S + 0.05)
+    assert all(load.n_failures == 0 for load in loads.loads.values())
+    assert all(seen.n_failed == 0 for seen in loads.outcomes.values())
--- a/turmericreel/entry/server_connections.py
+++ b/turmericreel/entry/server_connections.py
@@ -21,6 +21,8 @@
 
 MAX_IDLE_FOR_SERVER = 64
 IDLE_LIMIT_S = 5.0
+# Servers may forget connections that rested for some tenths of a second.
+FRESH_LIMIT_S = 0.2
 READ_EVENT = 1
 WRITE_EVENT = 2
 
@@ -43,6 +45,8 @@
         self.sock = sock
         self.sock.setblocking(False)
         self.idle_deadline = 0.0
+        self.fresh_deadline = 0.0
+        self.was_idle = False
         self.hub = get_hub()
         self.readable = self.hub.loop.io(sock.fileno(), READ_EVENT)
 
@@ -123,11 +127,23 @@
         end_when_unacknowledged(sock)
         return ServerConnection(address=address, sock=sock)
 
-    def take(self, address: Address, *, timeout: float) -> ServerConnection:
-        """Return an idle connection that looks sound, or open one."""
+    def take(
+        self, address: Address, *, timeout: float, is_fresh: bool = False
+    ) -> ServerConnection:
+        """Return an idle connection that looks sound, or open one.
+
+        Parameters
+        ----------
+        is_fresh : bool
+            Whether it must not have rested for long, for what is lost when the server
+            has forgotten the connection.
+        """
         connections = self.idle.get(address, ())
         now = self.clock.monotonic()
         while connections:
+            if is_fresh and now >= connections[-1].fresh_deadline:
+                # Those before it have rested longer.
+                break
             connection = connections.pop()
             if now < connection.idle_deadline and connection.quiet():
                 return connection
@@ -144,7 +160,10 @@
         keep_s : float
             Seconds for which the server keeps it for certain.
         """
-        connection.idle_deadline = self.clock.monotonic() + keep_s
+        now = self.clock.monotonic()
+        connection.idle_deadline = now + keep_s
+        connection.fresh_deadline = now + FRESH_LIMIT_S
+        connection.was_idle = True
         connections = self.idle.setdefault(connection.address, deque())
         connections.append(connection)
         if len(connections) > MAX_IDLE_FOR_SERVER:
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -8,6 +8,8 @@
 from collections import deque
 from collections.abc import Iterator
 from enum import Enum
+from math import inf
+from time import monotonic
 
 from gevent import sleep
 
@@ -53,6 +55,9 @@
         WSGI environment of each request, run or not.
     misbehaviours : deque of Misbehaviour
         What the next requests meet, in order.
+    forget_after_s : float
+        Idle time after which a connection is forgotten: the next request on it is
+        broken off and does not run.
     """
 
     def __init__(
@@ -73,6 +78,8 @@
         self.n_ended_streams = 0
         self.misbehaviours: deque[Misbehaviour] = deque()
         self.confidence = "100"
+        self.forget_after_s = inf
+        self.last_used: dict[str, float] = {}
         self.http = BoundedServer(
             address=Address(host=host, port=0),
             application=self._answer,
@@ -94,6 +101,7 @@
 
     def _answer(self, environ: dict, start_response) -> Iterator[bytes]:
         body = environ["wsgi.input"].read()
+        self._break_if_forgotten(environ["REMOTE_PORT"])
         self.seen.append({**environ, "body": body})
         headers = [(self.names.attempt_id, self._header(environ, "attempt_id"))]
         headers += [(self.names.load, "1,0,4"), ("X-Served-By", self.server)]
@@ -120,6 +128,13 @@
         start_response("200 OK", headers)
         return [b"answer of ", self.server.encode()]
 
+    def _break_if_forgotten(self, port: str) -> None:
+        """Break off a request on a connection that rested for too long."""
+        rested = monotonic() - self.last_used.get(port, inf)
+        self.last_used[port] = monotonic()
+        if rested > self.forget_after_s:
+            raise BrokenPipeError(errno.EPIPE, "told to forget the connection")
+
     def _events(self, after: int, fault: Misbehaviour | None) -> Iterator[bytes]:
         try:
             for number in range(after + 1, self.n_events + 1):
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -111,7 +111,7 @@
             self.metrics.attempt_ended(_attempt_outcome(error.failure))
             if not isinstance(error.failure, NotRun):
                 self._count_run(request, server)
-            if not was_refused(error.failure):
+            if not (was_refused(error.failure) or exchange.was_forgotten):
                 self.loads.failed(server.server, now=self.clock.monotonic())
             attempt.end(failed=not isinstance(error.failure, NotRun))
             raise
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -136,6 +136,7 @@
         self.deadline = deadline
         self.connection: ServerConnection | None = None
         self.answer: PassedAnswer | None = None
+        self.was_forgotten = False
 
     def begin(self, *, last_event_id: str | None) -> PassedAnswer:
         """Connect, send the request, and read the header of the answer.
@@ -159,6 +160,10 @@
         try:
             self.answer.read_header()
         except FailureError as error:
+            # That it rested for too long says nothing about the server.
+            self.was_forgotten = self.connection.was_idle and not self.answer.timed_out
+            if self.was_forgotten:
+                self.connections.forget(self.connection.address)
             raise self._unknown(error.failure.describe()) from error
         self.answer.deadline = self.deadline
         self.answer.limit_silence(None)
@@ -191,7 +196,9 @@
         left = self.deadline - self.clock.monotonic()
         try:
             return self.connections.take(
-                address, timeout=min(CONNECT_TIMEOUT_S, max(left, 0.001))
+                address,
+                timeout=min(CONNECT_TIMEOUT_S, max(left, 0.001)),
+                is_fresh=not self.request.route.is_idempotent,
             )
         except OSError as error:
             self.connections.forget(address)
