Let coordinators follow changed seeds, and say why a request is not repeated

Cause 1: a coordinator that lost its disk, or is new, asked only the seeds of its start; where these are gone for good and the settings name others, it never joined. Change: it asks those that the settings name at present, as gateways do.

Cause 2: a coordinator that belongs to no group yet acknowledged heartbeats that nobody else hears of, so that the server stayed with it. Change: it answers that it is not available, and the server goes to another one.

Cause 3: logs did not say whether the budget, the route, the time or at most once kept a request from another try. Change: gateway:not_repeated, with the reason.

Test: test_a_coordinator_whose_seeds_are_replaced_joins_by_the_new_ones; it fails with either change 1 or 2 taken out.

--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -80,21 +80,28 @@
         self.sequence = 0
 
     def start_coordinator(
-        self, instance: str, *, is_founder: bool, has_disk: bool = True
+        self,
+        instance: str,
+        *,
+        is_founder: bool,
+        has_disk: bool = True,
+        seeds: list[str] | None = None,
     ) -> Coordinator:
         """Start a coordinator in its folder."""
         folder = self.folder / instance.partition(":")[0]
+        named = list(self.seeds) if seeds is None else seeds
         coordinator = Coordinator(
             settings=CoordinatorSettings(
                 instance=instance,
                 data_centre="a",
-                seeds=self.seeds,
+                seeds=tuple(named),
                 is_founder=is_founder,
                 data_folder=str(folder) if has_disk else None,
                 internal_port=self.internal_port,
                 raft_port=self.raft_port,
                 heartbeat_ms=60_000,
             ),
+            seeds=lambda: named,
             codec=JsonCodec(),
             clock=SystemClock(),
             on_failure=self.failures.append,
--- a/test/routing/test_many_coordinators.py
+++ b/test/routing/test_many_coordinators.py
@@ -11,7 +11,7 @@
 from test.routing.small_system import NAMES, small_system, wait_until
 from turmericreel.decisions.coordinator_choice import LINK_LIMIT, choose_links
 from turmericreel.fakes.routed_server import Misbehaviour
-from turmericreel.model.failures import FailureError, NotLeader
+from turmericreel.model.failures import ControlUnavailable, FailureError, NotLeader
 from turmericreel.model.routing import RolloutStage
 
 SAFE = make_route("/safe/")
@@ -116,6 +116,24 @@
     assert len(bad.runs) < 50
 
 
+def test_a_coordinator_whose_seeds_are_replaced_joins_by_the_new_ones(tmp_path):
+    with small_system(tmp_path) as system:
+        system.submit(SAFE)
+        # Nobody is there any more.
+        seeds = [f"127.0.1.99:{system.control_port}"]
+        newcomer = system.start_coordinator(
+            f"127.0.1.9:{system.control_port}", is_founder=False, seeds=seeds
+        )
+        system.coordinators.append(newcomer)
+        with pytest.raises(FailureError) as caught:
+            newcomer.hear_server(make_server("s9"))
+        assert isinstance(caught.value.failure, ControlUnavailable)
+        seeds[:] = system.seeds
+        wait_until(lambda: newcomer.machine.revision == 1, "the configuration")
+        newcomer.hear_server(make_server("s9"))
+        wait_until(lambda: "s9" in system.gateways[0].view.servers, "the server")
+
+
 def test_a_coordinator_without_a_disk_serves_operators_and_servers(many):
     many.submit(SAFE)
     observer = many.coordinators[-1]
--- a/turmericreel/coordination/raft/transport.py
+++ b/turmericreel/coordination/raft/transport.py
@@ -6,7 +6,7 @@
 
 import contextlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 from gevent import sleep, spawn
@@ -284,6 +284,10 @@
         """Names of the other instances; the member adds those that it hears of."""
         return self.known
 
+    def add_known(self, instances: Iterable[InstanceId]) -> None:
+        """Add instances that the settings name now."""
+        self.known |= set(instances) - {self.instance}
+
     def send(self, instance: InstanceId, message: RaftMessage | Introduction) -> None:
         """Queue a message without waiting, over a new stream if need be."""
         if instance not in self.links:
--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -20,6 +20,7 @@
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.check_routing import check_routing
 from turmericreel.model.failures import (
+    ControlUnavailable,
     Failure,
     FailureError,
     NotLeader,
@@ -72,6 +73,8 @@
     Parameters
     ----------
     settings : CoordinatorSettings
+    seeds : callable
+        Returns the coordinators that the settings name at present.
     codec : RoutingCodec
     clock : Clock
     on_failure : callable
@@ -82,6 +85,7 @@
         self,
         *,
         settings: CoordinatorSettings,
+        seeds: Callable[[], list[InstanceId]],
         codec: RoutingCodec,
         clock: Clock,
         on_failure: Callable[[Failure], None],
@@ -92,7 +96,8 @@
         self.machine = RoutingMachine()
         self.cache = SpreadCache(open_disk=lambda: self._open_disk(CACHE_FOLDER))
         self.cached = SpreadState()
-        seeds = frozenset(settings.seeds)
+        self.seeds = seeds
+        founders = frozenset(settings.seeds)
         host = settings.instance.rpartition(":")[0]
         self.raft_listener = PeerListener(
             address=parse_address(f"{host}:{settings.raft_port}")
@@ -101,7 +106,7 @@
             group=GROUP,
             instance=settings.instance,
             address_of=lambda i: internal_address(i, settings.raft_port),
-            seeds=set(seeds),
+            seeds=set(founders),
             listener=self.raft_listener,
         )
         self.log = RaftLog(
@@ -115,7 +120,7 @@
             clock=clock,
             rng=SystemRandom(),
             on_failure=on_failure,
-            founders=seeds if settings.is_founder else frozenset(),
+            founders=founders if settings.is_founder else frozenset(),
         )
         expiry_s = MISSED_HEARTBEATS * settings.heartbeat_ms / 1_000
         self.hub = Hub(
@@ -225,7 +230,16 @@
         return self.log.read_current(lambda machine: machine.rollouts.get(service))
 
     def hear_server(self, reported: RegisteredServer) -> None:
-        """Take in a backend server's heartbeat."""
+        """Take in a backend server's heartbeat.
+
+        Raises
+        ------
+        FailureError
+            With `ControlUnavailable` before this coordinator belongs to a group, as
+            nobody would hear of the server.
+        """
+        if not self._members():
+            raise FailureError(ControlUnavailable(detail="no group is known yet"))
         self.hub.hear_server(reported)
 
     def sign_off_server(self, server: BackendServerId) -> None:
@@ -311,6 +325,7 @@
 
     def _run(self) -> None:
         while True:
+            self.transport.add_known(self.seeds())
             self._connect_to_peers()
             self.hub.send_beats()
             self.hub.share_confirmed()
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from enum import Enum
 
 from turmericreel.gateway.client_request import ClientRequest, Headers
 from turmericreel.gateway.evidence import AttemptCount
@@ -65,6 +66,16 @@
             self.n_unreached += 1
 
 
+class RepeatObstacle(Enum):
+    """Why a request is not sent once more."""
+
+    DEADLINE = "deadline"
+    MAY_HAVE_RUN = "may_have_run"
+    ATTEMPTS = "attempts"
+    UNREACHED = "unreached"
+    BUDGET = "budget"
+
+
 class LargerModelWanted(Exception):  # noqa: N818
     """The answer is dropped and another model is to be asked; no failure."""
 
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -13,6 +13,7 @@
     Attempt,
     LargerModelWanted,
     Progress,
+    RepeatObstacle,
     final_failure,
     interrupted,
     unknown_outcome,
@@ -274,16 +275,32 @@
         return self._may_repeat(request, progress)
 
     def _may_repeat(self, request: ClientRequest, progress: Progress) -> bool:
+        obstacle = self._obstacle(request, progress)
+        if obstacle is None:
+            return True
+        log_message(
+            "gateway:not_repeated",
+            request=request.attempt_id,
+            reason=obstacle.value,
+            n_sent=progress.n_sent,
+            n_unreached=progress.n_unreached,
+        )
+        return False
+
+    def _obstacle(
+        self, request: ClientRequest, progress: Progress
+    ) -> RepeatObstacle | None:
+        """Return why a request must not be repeated; None takes from the budget."""
         now = self.clock.monotonic()
         if request.deadline - now < LEAST_LEFT_S:
-            return False
+            return RepeatObstacle.DEADLINE
         if progress.may_have_run and not request.route.is_idempotent:
-            return False
+            return RepeatObstacle.MAY_HAVE_RUN
         if progress.n_sent >= request.route.max_attempts:
-            return False
+            return RepeatObstacle.ATTEMPTS
         if progress.n_unreached > CONNECT_LIMIT:
-            return False
-        return self.budget.take(now=now)
+            return RepeatObstacle.UNREACHED
+        return None if self.budget.take(now=now) else RepeatObstacle.BUDGET
 
 
 def _is_stream(request: ClientRequest, passed: PassedAnswer) -> bool:
--- a/turmericreel/platform/coordinator.py
+++ b/turmericreel/platform/coordinator.py
@@ -47,6 +47,7 @@
 
     coordinator = Coordinator(
         settings=coordinator_settings(written),
+        seeds=seeds.read,
         codec=PlatformCodec(),
         clock=SystemClock(),
         on_failure=fail,
