Spread work and suspensions from the leader alone; grow the soak

Cause: a coordinator that led before goes on to spread the servers that it had suspended, with empty sums of work, for up to 40 s, by turns with the new leader's messages, which they replace at the gateways. Found by reading. Change: only the leader spreads them, or anybody while none is known. test_only_the_leader_spreads_what_servers_do_for_all failed before.

--- a/test/routing/test_hub.py
+++ b/test/routing/test_hub.py
@@ -4,9 +4,16 @@
 
 from test.routing.library import make_server
 from turmericreel.coordinator.hub import Hub, Session
+from turmericreel.decisions.server_health import ServerOutcomes
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
-from turmericreel.protocols.routing_messages import Beat, Gateways, GatewayStatus
+from turmericreel.protocols.routing_messages import (
+    Beat,
+    Gateways,
+    GatewayStatus,
+    GatewayWork,
+    ServerWork,
+)
 from turmericreel.state.routing_machine import RoutingMachine
 
 N_GATEWAYS = 80
@@ -126,3 +133,22 @@
     hub.spread_changes()
     (message,) = watching.take()
     assert message.gateways == (ready,)
+
+
+def test_only_the_leader_spreads_what_servers_do_for_all():
+    """An earlier leader's sums and suspensions would replace the newer ones."""
+    hub = make_hub()
+    sessions = [join(hub, n) for n in range(2)]
+    failed = ServerOutcomes(n_failed=5)
+    for n, session in enumerate(sessions):
+        work = GatewayWork(work_ms={}, outcomes={"s1": failed})
+        hub.hear_work(make_gateway(n).instance, work, session)
+    for name in ("s1", "s2", "s3"):
+        hub.hear_server(make_server(name))
+    for session in sessions:
+        session.take()
+    hub.spread_work()
+    assert sessions[0].take() == [ServerWork(work_ms={}, suspended=("s1",))]
+    hub.beat = lambda: Beat(coordinators=("c1", "c2"), leader="c2", term=2)
+    hub.spread_work()
+    assert sessions[0].take() == []
--- /dev/null
+++ b/test_long/loopback_proxy.py
@@ -0,0 +1,134 @@
+"""A proxy on the loopback that delays, resets, silences or cuts connections one way."""
+
+import socket
+import struct
+from dataclasses import dataclass, field
+from enum import Enum
+
+from gevent import sleep, spawn
+from gevent.server import StreamServer
+from gevent.socket import create_connection
+
+from turmericreel.protocols.addresses import parse_address
+
+BLOCK_BYTES = 65_536
+CONNECT_TIMEOUT_S = 1.0
+# Closing with this option resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class LinkFault(Enum):
+    """What happens to the connections that are open at the time."""
+
+    DELAY = "delay"
+    RESET = "reset"
+    SILENCE = "silence"
+    ONE_WAY = "one_way"
+
+
+@dataclass(kw_only=True, eq=False)
+class Passage:
+    """One connection through the proxy.
+
+    Attributes
+    ----------
+    delay_s : float
+        Time by which each block is held back.
+    is_silent : bool
+        Whether nothing passes any more; both ends stay open.
+    is_deaf : bool
+        Whether nothing passes any more from the server to its caller.
+    """
+
+    caller: socket.socket
+    server: socket.socket
+    delay_s: float = 0.0
+    is_silent: bool = False
+    is_deaf: bool = False
+
+    def pump(self, source: socket.socket, sink: socket.socket) -> None:
+        """Pass blocks on until an end closes."""
+        try:
+            while block := source.recv(BLOCK_BYTES):
+                sleep(self.delay_s)
+                if self.is_silent or (self.is_deaf and source is self.server):
+                    # What was dropped is missing for good, so nothing may follow it.
+                    continue
+                sink.sendall(block)
+            if not self.is_silent:
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The other direction notices the same, and both sockets are closed then.
+            return
+
+    def reset(self) -> None:
+        """Reset the connection at both ends."""
+        for sock in (self.caller, self.server):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.close()
+
+
+@dataclass(kw_only=True)
+class LoopbackProxy:
+    """Stands in front of one address.
+
+    Parameters
+    ----------
+    target : str
+        ``ip:port`` that connections are passed on to.
+    """
+
+    target: str
+    passages: set[Passage] = field(default_factory=set)
+
+    def __post_init__(self):
+        self.listener = StreamServer(("127.0.0.1", 0), self._serve)
+
+    def start(self) -> None:
+        """Start to listen."""
+        self.listener.start()
+
+    def stop(self) -> None:
+        """Stop listening, and reset all connections."""
+        self.listener.stop(timeout=0)
+        self.harm(LinkFault.RESET)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"{self.listener.server_host}:{self.listener.server_port}"
+
+    def harm(self, fault: LinkFault, *, delay_s: float = 0.0) -> None:
+        """Harm the connections that are open now."""
+        for passage in list(self.passages):
+            match fault:
+                case LinkFault.DELAY:
+                    passage.delay_s = delay_s
+                case LinkFault.RESET:
+                    passage.reset()
+                case LinkFault.SILENCE:
+                    passage.is_silent = True
+                case LinkFault.ONE_WAY:
+                    passage.is_deaf = True
+
+    def _serve(self, caller: socket.socket, peer) -> None:
+        address = parse_address(self.target)
+        try:
+            server = create_connection(
+                (address.host, address.port), timeout=CONNECT_TIMEOUT_S
+            )
+        except OSError:
+            # The caller sees its connection close, as before a server that is gone.
+            caller.close()
+            return
+        server.settimeout(None)
+        passage = Passage(caller=caller, server=server)
+        self.passages.add(passage)
+        back = spawn(passage.pump, server, caller)
+        try:
+            passage.pump(caller, server)
+            back.join()
+        finally:
+            self.passages.discard(passage)
+            caller.close()
+            server.close()
--- /dev/null
+++ b/test_long/soak_traffic.py
@@ -0,0 +1,247 @@
+"""What clients, operators and servers do in the soak, and what must hold for them.
+
+A request that may not be repeated runs at most once, and not at all where it was
+refused; streams are in order and whole; an accepted configuration is never read back
+older, and a proper one is never refused.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+import msgspec
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from turmericreel.fakes.routed_server import RoutedServer
+from turmericreel.platform.headers import PLATFORM_HEADERS
+from turmericreel.protocols.http_client import build_http_client
+
+N_EVENTS = 6
+HEARTBEAT_S = 0.3
+CLIENT_TIMEOUT_S = 5.0
+OLDER_SHARE = 0.3
+REFUSALS = (408, 421, 429, 503)
+NETWORK_ERRORS = (OSError, HTTPParseError)
+KINDS = ("safe", "unsafe", "stream")
+
+
+@dataclass(kw_only=True)
+class Findings:
+    """What was seen, and what should not have been."""
+
+    outcomes: Counter = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
+    acknowledged: int = 0
+
+
+class Caller:
+    """Somebody who keeps connections open for as long as they work."""
+
+    def __init__(self):
+        self.clients: dict[str, HTTPClient] = {}
+
+    def call(
+        self, address: str, method: str, path: str, *, body: bytes = b"", headers=None
+    ) -> tuple[int, bytes]:
+        """Return status and body, after following redirects."""
+        client = self.clients.get(address)
+        if client is None:
+            client = build_http_client(address, timeout_s=CLIENT_TIMEOUT_S)
+            self.clients[address] = client
+        try:
+            answer = client.request(method, path, body=body, headers=headers or {})
+            data = bytes(answer.read())
+        except NETWORK_ERRORS:
+            self.clients.pop(address).close()
+            raise
+        if answer.status_code == 307:
+            address = answer["Location"].split("/")[2]
+            return self.call(address, method, path, body=body, headers=headers)
+        return answer.status_code, data
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self.clients.values():
+            client.close()
+
+
+class Operator:
+    """Sends configurations, older ones again at times, and reads them back.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        Of all coordinators.
+    """
+
+    def __init__(self, *, addresses: Sequence[str], findings: Findings, rng: Random):
+        self.addresses = addresses
+        self.findings = findings
+        self.rng = rng
+        self.caller = Caller()
+        self.version = 0
+
+    def act(self) -> None:
+        """Send one change."""
+        self.version += self.rng.randint(1, 3)
+        status, _ = self._try("PUT", configuration(self.version))
+        if status == 200:
+            self.findings.acknowledged = max(self.findings.acknowledged, self.version)
+        elif 400 <= status < 500:
+            self.findings.faults.append(f"{self.version} was refused: {status}")
+        self._read_back()
+        if self.findings.acknowledged > 3 and self.rng.random() < OLDER_SHARE:
+            # An older change arrives again, and must change nothing.
+            older = self.findings.acknowledged - self.rng.randint(1, 3)
+            self._try("PUT", configuration(older))
+            self._read_back()
+
+    def _read_back(self) -> None:
+        least = self.findings.acknowledged
+        status, body = self._try("GET", b"")
+        if status != 200:
+            return
+        version = msgspec.json.decode(body)["Version"]
+        if version < least:
+            self.findings.faults.append(f"read {version} after {least} was accepted")
+
+    def _try(self, method: str, body: bytes) -> tuple[int, bytes]:
+        address = self.rng.choice(self.addresses)
+        try:
+            return self.caller.call(address, method, "/-/configuration", body=body)
+        except NETWORK_ERRORS:
+            return 0, b""
+
+
+class Client:
+    """Sends requests of all kinds and checks the answers.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        Of all gateways.
+    numbers : iterator of int
+        Shared by all clients, so that no two requests have the same id.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[str],
+        bodies: Sequence[bytes],
+        findings: Findings,
+        numbers: count,
+        rng: Random,
+    ):
+        self.addresses = addresses
+        self.bodies = bodies
+        self.findings = findings
+        self.numbers = numbers
+        self.rng = rng
+        self.caller = Caller()
+
+    def act(self) -> None:
+        """Send one request and count how it ended."""
+        kind = self.rng.choice(KINDS)
+        self.findings.outcomes[f"{kind} {self.request(kind)}"] += 1
+
+    def request(self, kind: str) -> str:
+        """Return the status of one request, or ``"no answer"``."""
+        attempt_id = f"{kind}-{next(self.numbers)}"
+        headers = {
+            "Host": "example",
+            PLATFORM_HEADERS.attempt_id: attempt_id,
+            PLATFORM_HEADERS.deadline_ms: "3000",
+        }
+        if kind == "stream":
+            headers["Accept"] = "text/event-stream"
+        path = f"/{kind}/{attempt_id}"
+        address = self.rng.choice(self.addresses)
+        try:
+            status, body = self.caller.call(
+                address, "POST", path, body=b"x", headers=headers
+            )
+        except NETWORK_ERRORS:
+            return "no answer"
+        if status in REFUSALS:
+            self.findings.refused.add(attempt_id)
+        if status == 200:
+            self._check_body(kind, attempt_id, body)
+        return str(status)
+
+    def _check_body(self, kind: str, attempt_id: str, body: bytes) -> None:
+        expected = self.bodies
+        if kind == "stream":
+            numbers = range(1, N_EVENTS + 1)
+            expected = [b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in numbers)]
+        if body not in expected:
+            self.findings.faults.append(f"{attempt_id} was answered {body!r}")
+
+
+def check_runs(servers: Sequence[RoutedServer], findings: Findings) -> None:
+    """Compare what ran with what clients were told."""
+    runs = Counter(run[0] for server in servers for run in server.runs)
+    for attempt_id, n_runs in runs.items():
+        if attempt_id.startswith("unsafe") and n_runs > 1:
+            findings.faults.append(f"{attempt_id} ran {n_runs} times")
+        if attempt_id.startswith("unsafe") and attempt_id in findings.refused:
+            findings.faults.append(f"{attempt_id} ran and was refused")
+
+
+def send_heartbeat(
+    caller: Caller,
+    server: str,
+    *,
+    address: str,
+    sequence: int,
+    coordinators: Sequence[str],
+) -> None:
+    """Tell the first coordinator that answers of a server."""
+    beat = {
+        "Backend": "service",
+        "Address": address,
+        "Zone": "a",
+        "Version": "v1",
+        "Slots": 8,
+        "State": "ready",
+        "Sequence": sequence,
+    }
+    body = msgspec.json.encode(beat)
+    for coordinator in coordinators:
+        try:
+            path = f"/-/instances/{server}"
+            if caller.call(coordinator, "PUT", path, body=body)[0] == 200:
+                return
+        except NETWORK_ERRORS:
+            continue
+
+
+def configuration(version: int) -> bytes:
+    """Return a configuration with one route of each kind."""
+
+    def route(name: str, kind: str, **options) -> dict:
+        return {
+            "Name": name,
+            "Hostname": "example",
+            "PathPrefix": f"/{name}/",
+            "RouteType": kind,
+            "TimeoutMs": 3_000,
+            "TargetLatencyMs": 300,
+            "Backend": "service",
+            **options,
+        }
+
+    body = {
+        "Version": version,
+        "Routes": [
+            route("safe", "safe", MaxAttempts=3),
+            route("unsafe", "unsafe", MaxAttempts=2),
+            route("stream", "streaming", MaxAttempts=3, StreamResume=True),
+        ],
+        "Backends": [{"Name": "service", "HealthCheck": "/h"}],
+    }
+    return msgspec.json.encode(body)
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -255,7 +255,12 @@
         return tuple(sorted({s for e in entries for s in e.status.sessions}))
 
     def spread_work(self) -> None:
-        """Tell all gateways what servers do for all of them."""
+        """Tell all gateways what servers do for all of them.
+
+        Gateways report to the leader, so that no one else's sums are whole.
+        """
+        if self.beat().leader not in (None, self.instance):
+            return
         total: dict[BackendServerId, float] = {}
         for entry in self.gateways.values():
             for server, work_ms in entry.work_ms.items():
