Bring service back by seeds that have all forgotten the group

The settings had come to name the three coordinators without a disk as seeds; after the closing fault these knew nothing, and gateways and they themselves knew only each other. Coordinators with a disk do know all members and connect to them, but nobody learned from that.

Change: a coordinator learns of those that connect to it, asks them for the group, and names them to gateways at once; a gateway that knows no coordinators yet takes them also before there is a leader, and chooses connections as soon as they change. A gateway tries again to connect after 0.4 s, not 1 s: the tries that hung until then were what it waited for longest.

Test: test_service_comes_back_by_seeds_that_all_lost_their_memory failed before.

--- a/test/routing/test_many_coordinators.py
+++ b/test/routing/test_many_coordinators.py
@@ -134,6 +134,25 @@
         wait_until(lambda: "s9" in system.gateways[0].view.servers, "the server")
 
 
+def test_service_comes_back_by_seeds_that_all_lost_their_memory(tmp_path):
+    """The settings name coordinators without a disk only, and all were killed."""
+    with small_system(tmp_path, n_coordinators=3) as system:
+        system.submit(SAFE)
+        address = f"127.0.1.9:{system.control_port}"
+        observer = system.start_coordinator(address, is_founder=False, has_disk=False)
+        system.coordinators.append(observer)
+        wait_until(lambda: observer.machine.revision == 1, "an observer")
+        for instance in system.gateways + system.coordinators:
+            instance.stop()
+        founders, system.seeds = system.seeds, (address,)
+        system.coordinators = [
+            system.start_coordinator(address, is_founder=False, has_disk=False),
+            *(system.start_coordinator(f, is_founder=False) for f in founders),
+        ]
+        system.gateways = [system.start_gateway(f"127.0.2.9:{system.control_port}")]
+        wait_until(lambda: system.gateways[0].view.revision == 1, "the configuration")
+
+
 def test_a_coordinator_without_a_disk_serves_operators_and_servers(many):
     many.submit(SAFE)
     observer = many.coordinators[-1]
--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -133,9 +133,12 @@
         self.rollouts = RolloutTask(log=self.log, hub=self.hub, clock=clock)
         self.usage = UsageTask(log=self.log, hub=self.hub)
         self.listener = SessionListener(
-            address=parse_address(f"{host}:{settings.internal_port}"), hub=self.hub
+            address=parse_address(f"{host}:{settings.internal_port}"),
+            hub=self.hub,
+            on_coordinator=self._coordinator_connected,
         )
         self.peers: dict[InstanceId, PeerSession] = {}
+        self.heard_coordinators: set[InstanceId] = set()
         self.tasks: list[Greenlet] = []
 
     def start(self) -> None:
@@ -269,10 +272,17 @@
     def _log_keepers(self) -> tuple[InstanceId, ...]:
         core = self.log.member.core
         if core is None:
-            return ()
+            return tuple(sorted(self.heard_coordinators))
         membership = core.state.membership
         return tuple(instance_of(m) for m in membership.voters + membership.learners)
 
+    def _coordinator_connected(self, instance: InstanceId) -> None:
+        # The seeds may all have forgotten what the others still know.
+        self.transport.add_known([instance])
+        if instance not in self.heard_coordinators:
+            self.heard_coordinators.add(instance)
+            self.hub.send_beats()
+
     def _require_leader(self) -> None:
         if not self.log.is_leader():
             raise FailureError(NotLeader(leader=self.log.leader() or ""))
--- a/turmericreel/coordinator/sessions.py
+++ b/turmericreel/coordinator/sessions.py
@@ -76,10 +76,19 @@
     ----------
     address : Address
     hub : Hub
+    on_coordinator : callable
+        Told of each coordinator that connects.
     """
 
-    def __init__(self, *, address: Address, hub: Hub):
+    def __init__(
+        self,
+        *,
+        address: Address,
+        hub: Hub,
+        on_coordinator: Callable[[InstanceId], None],
+    ):
         self.hub = hub
+        self.on_coordinator = on_coordinator
         self.server = StreamServer((address.host, address.port), self._serve)
         self.streams: set[FrameStream] = set()
 
@@ -131,6 +140,7 @@
             self.hub.remove_gateway(hello.gateway.instance, session)
 
     def _serve_coordinator(self, stream: FrameStream, hello: CoordinatorHello) -> None:
+        self.on_coordinator(hello.instance)
         try:
             while (message := stream.receive()) is not None:
                 match message:
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -233,4 +233,5 @@
 
     def _view_changed(self) -> None:
         self.chooser.loads.forget(set(self.view.servers))
+        self.links.choose_soon()
         self.links.report_now()
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -26,7 +26,9 @@
 )
 from turmericreel.protocols.sockets import end_when_unacknowledged
 
-CONNECT_TIMEOUT_S = 1.0
+# Many round trips; a machine that is still starting answers no packet, and the next try
+# finds it sooner than the system's own retransmission after a second.
+CONNECT_TIMEOUT_S = 0.4
 # Coordinators beat every half second, so this is several lost beats.
 IDLE_TIMEOUT_S = 2.0
 RECONNECT_PAUSE_S = 0.05
@@ -185,6 +187,7 @@
         self.on_change = on_change
         self.rng = rng
         self.links: dict[InstanceId, CoordinatorLink] = {}
+        self.choice_due = Event()
         self.task: Greenlet | None = None
 
     def start(self) -> None:
@@ -199,6 +202,10 @@
         for link in self.links.values():
             link.stop()
 
+    def choose_soon(self) -> None:
+        """Choose without waiting for the next turn."""
+        self.choice_due.set()
+
     def report_now(self) -> None:
         """Send the status to all at once."""
         for link in self.links.values():
@@ -237,5 +244,6 @@
 
     def _run(self) -> None:
         while True:
-            sleep(CHOOSE_INTERVAL_S)
+            self.choice_due.wait(timeout=CHOOSE_INTERVAL_S)
+            self.choice_due.clear()
             self.choose()
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -128,12 +128,15 @@
 
     def _hear_beat(self, message: Beat, source: str) -> bool:
         self.gateway_lists.hear_beat(source)
-        before, self.gateways = self.gateways, self.gateway_lists.agreed()
+        before = (self.gateways, self.coordinators, self.leader)
+        self.gateways = self.gateway_lists.agreed()
         # One that was cut off may go on naming the leader that it knew.
         if message.leader is not None and message.term >= self.leader_term:
             self.leader, self.leader_term = message.leader, message.term
             self.coordinators = set(message.coordinators)
-        return self.gateways != before
+        elif not self.coordinators:
+            self.coordinators = set(message.coordinators)
+        return (self.gateways, self.coordinators, self.leader) != before
 
     def servers_of(self, service: ServiceName) -> list[RegisteredServer]:
         """Return the usable servers of a service."""
