--- a/test_long/loopback_proxy.py
+++ b/test_long/loopback_proxy.py
@@ -64,6 +64,9 @@
     def reset(self) -> None:
         """Reset the connection at both ends."""
         for sock in (self.caller, self.server):
+            if sock.fileno() < 0:
+                # Closed already, by an earlier reset or at the end of the stream.
+                continue
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             sock.close()
 
