Split the tests of the spread by what each part does

Cause: test/spread/tree.py (456 lines) held a stand-in for the log, links and the tree, and builders of servers and texts; test_tree.py (430 lines) held two subjects.

Change: memory_log.py and library.py beside tree.py; the tests that change leaders, restart relays or watch the address list stand in test_tree_leaders.py, the fixture in conftest.py.

--- a/test/spread/test_announcements.py
+++ b/test/spread/test_announcements.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from test.spread.tree import Tree, announce, server
+from test.spread.library import announce, server
+from test.spread.tree import Tree
 from turmericreel.entry.announcements import (
     ADOPTED_EXPIRY_MS,
     EXPIRY_MS,
--- a/test/spread/test_control_view.py
+++ b/test/spread/test_control_view.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from test.spread.tree import server, small_text
+from test.spread.library import server, small_text
 from turmericreel.coordination.control_view import ControlView, Taken
 from turmericreel.model.ids import FencingToken, InstanceId, Revision
 from turmericreel.protocols.control_messages import (
--- a/test/spread/test_load_exchange.py
+++ b/test/spread/test_load_exchange.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from test.spread.tree import Tree, announce
+from test.spread.library import announce
+from test.spread.tree import Tree
 from turmericreel.coordination.load_exchange import (
     INTEREST_VALID_S,
     MAX_ASKED_SERVERS,
--- a/test/spread/test_order_sender.py
+++ b/test/spread/test_order_sender.py
@@ -4,7 +4,7 @@
 import pytest
 from gevent.pywsgi import WSGIServer
 
-from test.spread.tree import server
+from test.spread.library import server
 from turmericreel.control.orders import HttpOrderSender
 from turmericreel.model.ids import FencingToken, Incarnation, VersionId
 from turmericreel.protocols.backend import (
--- a/test/spread/test_orders.py
+++ b/test/spread/test_orders.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from test.spread.tree import MemoryLog, SharedLog, announce, left
+from test.spread.library import announce, left
+from test.spread.memory_log import MemoryLog, SharedLog
 from turmericreel.control.order_plan import MAX_ATTEMPTS, MAX_OPEN_ORDERS
 from turmericreel.control.orders import ASK_AGAIN_S, LoadOrders, OrderSender
 from turmericreel.model.ids import FencingToken, Revision, SubmissionId, VersionId
--- a/test/spread/test_registry.py
+++ b/test/spread/test_registry.py
@@ -3,7 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from test.spread.tree import Tree, announce, expire, left, server
+from test.spread.library import announce, expire, left, server
+from test.spread.tree import Tree
 from turmericreel.control.home_expiry import (
     MAX_EXPIRED_A_SWEEP,
     REHOME_GRACE_S,
--- a/test/spread/test_spread_fuzz.py
+++ b/test/spread/test_spread_fuzz.py
@@ -15,15 +15,8 @@
     rule,
 )
 
-from test.spread.tree import (
-    CLOCK_DRIFT,
-    LEASE_BOUND_S,
-    Tree,
-    announce,
-    expire,
-    left,
-    small_text,
-)
+from test.spread.library import announce, expire, left, small_text
+from test.spread.tree import CLOCK_DRIFT, LEASE_BOUND_S, Tree
 
 CONTROLS = ["c1", "c2"]
 RELAYS = ["r1"]
--- a/test/spread/test_submissions.py
+++ b/test/spread/test_submissions.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from test.spread.tree import small_text
+from test.spread.library import small_text
 from turmericreel.coordination.control_view import ControlView
 from turmericreel.coordination.submissions import submission_command
 from turmericreel.model.failures import SubmitConflict, TextRejected, failure_from_wire
--- /dev/null
+++ b/test/spread/test_tree_leaders.py
@@ -0,0 +1,164 @@
+"""Spread while leaders change, relays restart and instances leave the list."""
+
+from gevent import sleep
+
+from test.library import wait_until
+from test.spread.library import live_at, small_text
+from test.spread.tree import LEASE_BOUND_S, LEASE_MS
+from turmericreel.model.failures import SubmitConflict, failure_from_wire
+from turmericreel.model.ids import Incarnation, InstanceId, Revision, SubmissionId
+from turmericreel.protocols.control_messages import (
+    Answered,
+    Hello,
+    Propose,
+    Redirected,
+    SubscriberRole,
+)
+from turmericreel.state.commands.base import Rejected
+from turmericreel.state.commands.configuration import Submitted, SubmitText
+
+LEASE_S = LEASE_MS / 1_000
+
+
+def test_new_leader_waits_for_leases_it_does_not_know(tree):
+    client = tree.nodes["e1"].client
+    tree.cut("e1")
+    tree.lead("c2")
+    revision = tree.submit(small_text(2))
+    assert client.lease_valid()
+    assert not tree.leader.subscribers.in_force(revision).everywhere
+    tree.clock.advance(LEASE_BOUND_S + 0.01)
+    assert not client.lease_valid()
+    assert tree.leader.subscribers.in_force(revision).everywhere
+
+
+def test_old_leader_grants_nothing_after_its_term(tree):
+    tree.lead("c2")
+    tree.submit(small_text(2))
+    tree.clock.advance(LEASE_BOUND_S + 0.01)
+    tree.exchange("e1")
+    client = tree.nodes["e1"].client
+    assert not client.lease_valid()
+    tree.connect("c1", "c2")
+    tree.settle()
+    tree.renew_all()
+    assert client.view.revision == 2
+    assert client.lease_valid()
+
+
+def submission(name: str, base: int, n: int) -> SubmitText:
+    return SubmitText(
+        submission=SubmissionId(name),
+        base_revision=Revision(base),
+        text=small_text(n),
+    )
+
+
+def test_of_two_operators_on_one_revision_one_wins(tree):
+    assert tree.commit(submission("ana", 1, 10)) == Submitted(revision=Revision(2))
+    refused = tree.commit(submission("luis", 1, 11))
+    assert isinstance(refused, Rejected)
+    failure = failure_from_wire(refused.failure)
+    assert failure == SubmitConflict(current_revision=Revision(2))
+
+
+def test_resend_gets_the_first_answer_after_failover_and_later_changes(tree):
+    first = tree.commit(submission("ana", 1, 10))
+    refused = tree.commit(submission("luis", 1, 11))
+    tree.lead("c2")
+    tree.submit(small_text(3))
+    tree.submit(small_text(4))
+    assert tree.commit(submission("ana", 1, 10)) == first
+    assert tree.commit(submission("luis", 1, 11)) == refused
+    assert tree.shared.machine.configuration.revision == 4
+    assert tree.shared.machine.configuration.text == small_text(4)
+
+
+def test_relays_hang_below_the_leader_only(tree):
+    hello = Hello(
+        instance=InstanceId("r9/relay"),
+        incarnation=Incarnation(1),
+        data_centre=tree.nodes["e1"].client.hello.data_centre,
+        http_address="",
+        role=SubscriberRole.RELAY,
+    )
+    sent = []
+
+    class Recorder:
+        """Stream that keeps what is sent."""
+
+        send = staticmethod(sent.append)
+
+    assert tree.nodes["c2"].service.admit(hello, Recorder()) is None
+    assert sent == [Redirected(address="c1")]
+
+
+def test_restarted_relay_does_not_hide_leases_of_its_former_run(tree):
+    client = tree.nodes["e4"].client
+    tree.restart("r1")
+    tree.connect("r1", "c1")
+    revision = tree.submit(small_text(2))
+    tree.settle()
+    tree.renew_all()
+    assert client.lease_valid()
+    assert client.view.revision == 1
+    assert not tree.leader.subscribers.in_force(revision).everywhere
+    tree.clock.advance(LEASE_BOUND_S + 0.01)
+    assert not client.lease_valid()
+    assert tree.leader.subscribers.in_force(revision).everywhere
+
+
+def test_command_that_waits_in_a_relay_is_committed_when_the_relay_comes_to_lead(tree):
+    service = tree.nodes["c2"].service
+    client = tree.nodes["c2"].client
+    client.calls.wanted = lambda: not service.is_leader()
+    tree.cut("c2")
+    answers = []
+
+    class Recorder:
+        """Subscriber that keeps its answers."""
+
+        n_calls = 0
+        send = staticmethod(answers.append)
+
+    message = Propose(call=7, command=submission("ana", 1, 10))
+    service.handle(Recorder(), message)
+    sleep(0)
+    assert answers == []
+    tree.lead("c2")
+    wait_until(lambda: answers, what="answer from the new leader")
+    assert answers == [Answered(call=7, result=Submitted(revision=Revision(2)))]
+
+
+def test_change_of_leader_does_not_empty_the_address_list(tree):
+    everyone = {"e1", "e2", "e3", "e4"}
+    assert live_at(tree) == everyone
+    tree.cut("c2")
+    tree.lead("c2")
+    tree.clock.advance(LEASE_BOUND_S + 0.5)
+    assert live_at(tree) == everyone
+    for name in ("c1", "c3", "r1"):
+        tree.connect(name, "c2")
+    tree.settle()
+    tree.renew_all()
+    tree.clock.advance(10)
+    tree.renew_all()
+    assert live_at(tree) == everyone
+
+
+def test_lost_relay_leaves_its_instances_time_to_move(tree):
+    tree.cut("r1")
+    tree.clock.advance(LEASE_BOUND_S + 0.5)
+    assert "e4" in live_at(tree)
+    tree.connect("e4", "c3")
+    tree.settle()
+    tree.renew_all()
+    tree.clock.advance(10)
+    tree.renew_all()
+    assert live_at(tree) == {"e1", "e2", "e3", "e4"}
+
+
+def test_lost_instance_leaves_the_address_list(tree):
+    tree.cut("e1")
+    tree.clock.advance(LEASE_BOUND_S + 0.5)
+    assert live_at(tree) == {"e2", "e3", "e4"}
--- a/test/spread/tree.py
+++ b/test/spread/tree.py
@@ -11,24 +11,20 @@
 
 import msgspec
 
+from test.spread.memory_log import MemoryLog, SharedLog
 from turmericreel.control.queries import QUERIES
 from turmericreel.control.service import ControlService
 from turmericreel.coordination.control_client import ControlClient
-from turmericreel.coordination.replicated_log import ReplicatedLog
 from turmericreel.decisions.subset import SubsetSizes
-from turmericreel.model.failures import FailureError, NotLeader, PeerUnreachable
+from turmericreel.model.failures import FailureError, PeerUnreachable
 from turmericreel.model.ids import (
-    BackendServerId,
     DataCentreId,
     FencingToken,
     Incarnation,
     InstanceId,
     Revision,
-    ServiceName,
     SubmissionId,
-    VersionId,
 )
-from turmericreel.model.servers import BackendServer
 from turmericreel.protocols.addresses import Address
 from turmericreel.protocols.control_messages import (
     Hello,
@@ -37,14 +33,7 @@
     ToInstance,
 )
 from turmericreel.state.commands.configuration import SubmitText
-from turmericreel.state.commands.servers import (
-    AnnounceServer,
-    ExpiredServer,
-    ExpireServers,
-    ServerLeft,
-)
-from turmericreel.state.commands.union import Command, LogRecord, Result
-from turmericreel.state.machine import StateMachine
+from turmericreel.state.commands.union import Command, Result
 from turmericreel.util.clock import Clock, ManualClock
 
 LEASE_MS = 2_000
@@ -76,71 +65,6 @@
         return self.base.wall_ms()
 
 
-class SharedLog:
-    """What is committed, and who leads."""
-
-    def __init__(self):
-        self.machine = StateMachine()
-        self.index = 0
-        self.leader = ""
-        self.token = FencingToken(0)
-
-
-class MemoryLog(ReplicatedLog):
-    """One control instance's stand-in log.
-
-    Parameters
-    ----------
-    name : str
-    shared : SharedLog
-    clock : Clock
-    """
-
-    def __init__(self, *, name: str, shared: SharedLog, clock: Clock):
-        super().__init__()
-        self.name = name
-        self.shared = shared
-        self.clock = clock
-        self.machine = shared.machine
-
-    def start(self) -> None:
-        """Do nothing."""
-
-    def stop(self) -> None:
-        """Do nothing."""
-
-    def propose(self, command: Command, *, timeout: float) -> Result:
-        """Commit at once, if this instance leads."""
-        if not self.is_leader():
-            raise FailureError(NotLeader(leader=self.leader_hint()))
-        self.shared.index += 1
-        record = LogRecord(
-            index=self.shared.index,
-            term=self.shared.token,
-            time_ms=self.clock.wall_ms(),
-            command=command,
-        )
-        result = self.machine.apply(record)
-        self.notify_applied(record, result)
-        return result
-
-    def is_leader(self) -> bool:
-        """Tell whether the test named this instance."""
-        return self.shared.leader == self.name
-
-    def leader_hint(self) -> str:
-        """Return the leader's name in place of an address."""
-        return self.shared.leader
-
-    def fencing_token(self) -> FencingToken:
-        """Return the token of the term."""
-        return self.shared.token
-
-    def orders_allowed_at(self) -> float:
-        """Return that orders were always allowed."""
-        return 0.0
-
-
 @dataclass(kw_only=True)
 class Pipe:
     """One direction of a link."""
@@ -409,48 +333,3 @@
         for name in self.senders:
             self.nodes[name].service.reports.report_instances()
         self.settle()
-
-
-def server(name: str, *, incarnation: int = 1, **fields) -> BackendServer:
-    """Return a backend server's announcement."""
-    values = {
-        "service": ServiceName("helper-llm"),
-        "versions": (VersionId("small"),),
-        "data_centre": DataCentreId("north-mid-a"),
-        "address": f"{name}:1",
-        **fields,
-    }
-    return BackendServer(
-        server=BackendServerId(name), incarnation=Incarnation(incarnation), **values
-    )
-
-
-def announce(name: str, *, home: str, **fields) -> AnnounceServer:
-    """Return the command that registers a server."""
-    return AnnounceServer(server=server(name, **fields), home=InstanceId(home))
-
-
-def left(name: str, *, incarnation: int = 1) -> ServerLeft:
-    """Return the command for a server that leaves."""
-    return ServerLeft(
-        server=BackendServerId(name), incarnation=Incarnation(incarnation)
-    )
-
-
-def expire(name: str, *, home: str, incarnation: int = 1) -> ExpireServers:
-    """Return the command for a server that fell silent at a home."""
-    expired = ExpiredServer(
-        server=BackendServerId(name), incarnation=Incarnation(incarnation)
-    )
-    return ExpireServers(home=InstanceId(home), servers=(expired,))
-
-
-def small_text(n: int) -> str:
-    """Return a valid text that differs in one line for each `n`."""
-    return (
-        '[services.helper-llm]\nkind = "assistant"\n'
-        '[services.helper-llm.versions.small]\nmodel = "m"\n'
-        f"input_price = {n}\n"
-        '[services.helper-llm.versions.strong]\nmodel = "m2"\n'
-        "input_price = 100\noutput_price = 400\nprior_quality = 0.95\n"
-    )
