Split the accounts' history by what each part does

Cause: test_long/accounts_history.py (431 lines) held a stand-in server, a caller over a bare socket, and the run that compares them.

Change: journal_server.py and raw_call.py; moved as they stood, one copy of N_TOKENS.

--- a/test/spread/test_tree_leaders.py
+++ b/test/spread/test_tree_leaders.py
@@ -4,7 +4,7 @@
 
 from test.library import wait_until
 from test.spread.library import live_at, small_text
-from test.spread.tree import LEASE_BOUND_S, LEASE_MS
+from test.spread.tree import LEASE_BOUND_S
 from turmericreel.model.failures import SubmitConflict, failure_from_wire
 from turmericreel.model.ids import Incarnation, InstanceId, Revision, SubmissionId
 from turmericreel.protocols.control_messages import (
@@ -17,8 +17,6 @@
 from turmericreel.state.commands.base import Rejected
 from turmericreel.state.commands.configuration import Submitted, SubmitText
 
-LEASE_S = LEASE_MS / 1_000
-
 
 def test_new_leader_waits_for_leases_it_does_not_know(tree):
     client = tree.nodes["e1"].client
--- a/test_long/accounts_history.py
+++ b/test_long/accounts_history.py
@@ -10,7 +10,6 @@
 import turmericreel.util.event_loop  # noqa: F401, I001
 
 import argparse
-import errno
 import signal
 import sys
 import tempfile
@@ -21,11 +20,12 @@
 
 import msgspec
 from gevent import joinall, sleep, spawn
-from gevent.socket import create_connection
 
 from bench.processes import OPERATOR_KEY, ControlGroup
-from test.library import CALLER_KEY, TEXT, chat_body
-from turmericreel.fakes.backend_server import FakeBackendServer, FakeBehaviour
+from test.library import TEXT, chat_body
+from test_long.journal_server import N_TOKENS, JournalServer
+from test_long.raw_call import Answer, call
+from turmericreel.fakes.backend_server import FakeBehaviour
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import (
     BackendServerId,
@@ -35,7 +35,6 @@
     VersionId,
 )
 from turmericreel.model.servers import BackendServer
-from turmericreel.protocols import headers
 from turmericreel.ui.accounts import reconcile_all
 from turmericreel.ui.operator_client import OperatorClient
 from turmericreel.util.clock import SystemClock
@@ -43,83 +42,7 @@
 N_INSTANCES = 3
 N_CHATTERS = 4
 N_BOOKERS = 4
-N_TOKENS = 12
-DEADLINE_MS = 3_000
 SETTLE_WAIT_S = 60.0
-CALL_TIMEOUT_S = 8.0
-
-
-class JournalServer(FakeBackendServer):
-    """A stand-in that writes down what it did, and fails at random."""
-
-    def __init__(self, *, rng: Random, **options):
-        super().__init__(**options)
-        self.rng = rng
-        self.effects: Counter[str] = Counter()
-        self.requests: Counter[str] = Counter()
-        self.tokens: Counter[tuple[str, str]] = Counter()
-        self.bodies: dict[str, bytes] = {}
-
-    def _serve(self, environ, start_response):
-        identity = [
-            (name, environ.get(headers.environ_key(name), ""))
-            for name in (headers.REQUEST_ID, headers.ATTEMPT, headers.VERSION)
-        ]
-        body = environ["wsgi.input"].read()
-        fault = self.rng.random()
-        if fault < 0.05:
-            refused = (headers.REFUSED, "busy")
-            start_response("503 Service Unavailable", [*identity, refused])
-            return [b""]
-        self.requests[identity[0][1]] += 1
-        if environ["PATH_INFO"].endswith("/chat/completions"):
-            header = [("Content-Type", "text/event-stream"), *identity]
-            first = int(environ.get(headers.environ_key(headers.RESUME_FROM), "0"))
-            if first:
-                header.append((headers.RESUME_FROM, str(first)))
-            start_response("200 OK", header)
-            return self._stream(identity, first, fault)
-        key = body.decode()
-        self.effects[key] += 1
-        self.bodies[key] = f"{key} done as {self.effects[key]}".encode()
-        sleep(self.rng.random() * 0.1)
-        if fault < 0.15:
-            # The effect happened, and its answer is lost.
-            raise BrokenPipeError(errno.EPIPE)
-        start_response("200 OK", [("Content-Type", "text/plain"), *identity])
-        return [self.bodies[key]]
-
-    def _stream(self, identity, first: int, fault: float):
-        request, attempt = identity[0][1], identity[1][1]
-        broken_at = self.rng.randrange(N_TOKENS) if fault < 0.3 else None
-        for n in range(first, N_TOKENS):
-            if n == broken_at:
-                raise BrokenPipeError(errno.EPIPE)
-            chunk = {
-                "id": f"{request}-{attempt}",
-                "sequence": n,
-                "choices": [{"delta": {"content": f"{request}:{n} "}}],
-            }
-            self.tokens[request, attempt] += 1
-            yield b"data: " + msgspec.json.encode(chunk) + b"\n\n"
-            sleep(self.rng.random() * 0.04)
-        usage = {"prompt_tokens": 5, "completion_tokens": N_TOKENS - first}
-        last = {
-            "id": f"{request}-{attempt}",
-            "choices": [{"delta": {}, "finish_reason": "stop"}],
-            "usage": usage,
-        }
-        yield b"data: " + msgspec.json.encode(last) + b"\n\ndata: [DONE]\n\n"
-
-
-@dataclass(kw_only=True)
-class Answer:
-    """What a caller saw of one call; `outcome` is "Lost" when nothing whole came."""
-
-    outcome: str
-    key: str = ""
-    request: str = ""
-    body: bytes = b""
 
 
 @dataclass(kw_only=True)
@@ -130,59 +53,6 @@
     chats: list[Answer] = field(default_factory=list)
 
 
-def call(address: str, path: str, body: bytes, **header: str) -> Answer:
-    """Call an instance and return what came, whatever it was."""
-    host, _, port = address.rpartition(":")
-    lines = [
-        f"POST {path} HTTP/1.1",
-        "Host: x",
-        "Connection: close",
-        "Content-Type: application/json",
-        f"Authorization: Bearer {CALLER_KEY}",
-        f"{headers.DEADLINE_MS}: {DEADLINE_MS}",
-        f"Content-Length: {len(body)}",
-        *(f"{name.replace('_', '-')}: {value}" for name, value in header.items()),
-    ]
-    received = b""
-    try:
-        sock = create_connection((host, int(port)), timeout=CALL_TIMEOUT_S)
-        with sock:
-            sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
-            while data := sock.recv(65_536):
-                received += data
-    except OSError:
-        pass
-    head, _, rest = received.partition(b"\r\n\r\n")
-    found = {}
-    for line in head.decode().split("\r\n")[1:]:
-        name, _, value = line.partition(": ")
-        found[name.lower()] = value
-    whole = True
-    if found.get("transfer-encoding") == "chunked":
-        rest, whole = _unchunk(rest)
-    elif "content-length" in found:
-        whole = len(rest) == int(found["content-length"])
-    outcome = found.get(headers.OUTCOME.lower(), "Lost") if whole else "Lost"
-    return Answer(
-        outcome=outcome, request=found.get(headers.REQUEST_ID.lower(), ""), body=rest
-    )
-
-
-def _unchunk(data: bytes) -> tuple[bytes, bool]:
-    body = b""
-    while True:
-        size, _, data = data.partition(b"\r\n")
-        if not size:
-            return body, False
-        n_bytes = int(size, 16)
-        if n_bytes == 0:
-            return body, True
-        if len(data) < n_bytes + 2:
-            return body + data[:n_bytes], False
-        body += data[:n_bytes]
-        data = data[n_bytes + 2 :]
-
-
 class Run:
     """One checked run."""
 
--- /dev/null
+++ b/test_long/journal_server.py
@@ -0,0 +1,76 @@
+"""A stand-in server that writes down all that it did and fails at random."""
+
+import errno
+from collections import Counter
+from random import Random
+
+import msgspec
+from gevent import sleep
+
+from turmericreel.fakes.backend_server import FakeBackendServer
+from turmericreel.protocols import headers
+
+N_TOKENS = 12
+
+
+class JournalServer(FakeBackendServer):
+    """A stand-in that writes down what it did, and fails at random."""
+
+    def __init__(self, *, rng: Random, **options):
+        super().__init__(**options)
+        self.rng = rng
+        self.effects: Counter[str] = Counter()
+        self.requests: Counter[str] = Counter()
+        self.tokens: Counter[tuple[str, str]] = Counter()
+        self.bodies: dict[str, bytes] = {}
+
+    def _serve(self, environ, start_response):
+        identity = [
+            (name, environ.get(headers.environ_key(name), ""))
+            for name in (headers.REQUEST_ID, headers.ATTEMPT, headers.VERSION)
+        ]
+        body = environ["wsgi.input"].read()
+        fault = self.rng.random()
+        if fault < 0.05:
+            refused = (headers.REFUSED, "busy")
+            start_response("503 Service Unavailable", [*identity, refused])
+            return [b""]
+        self.requests[identity[0][1]] += 1
+        if environ["PATH_INFO"].endswith("/chat/completions"):
+            header = [("Content-Type", "text/event-stream"), *identity]
+            first = int(environ.get(headers.environ_key(headers.RESUME_FROM), "0"))
+            if first:
+                header.append((headers.RESUME_FROM, str(first)))
+            start_response("200 OK", header)
+            return self._stream(identity, first, fault)
+        key = body.decode()
+        self.effects[key] += 1
+        self.bodies[key] = f"{key} done as {self.effects[key]}".encode()
+        sleep(self.rng.random() * 0.1)
+        if fault < 0.15:
+            # The effect happened, and its answer is lost.
+            raise BrokenPipeError(errno.EPIPE)
+        start_response("200 OK", [("Content-Type", "text/plain"), *identity])
+        return [self.bodies[key]]
+
+    def _stream(self, identity, first: int, fault: float):
+        request, attempt = identity[0][1], identity[1][1]
+        broken_at = self.rng.randrange(N_TOKENS) if fault < 0.3 else None
+        for n in range(first, N_TOKENS):
+            if n == broken_at:
+                raise BrokenPipeError(errno.EPIPE)
+            chunk = {
+                "id": f"{request}-{attempt}",
+                "sequence": n,
+                "choices": [{"delta": {"content": f"{request}:{n} "}}],
+            }
+            self.tokens[request, attempt] += 1
+            yield b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+            sleep(self.rng.random() * 0.04)
+        usage = {"prompt_tokens": 5, "completion_tokens": N_TOKENS - first}
+        last = {
+            "id": f"{request}-{attempt}",
+            "choices": [{"delta": {}, "finish_reason": "stop"}],
+            "usage": usage,
+        }
+        yield b"data: " + msgspec.json.encode(last) + b"\n\ndata: [DONE]\n\n"
--- /dev/null
+++ b/test_long/raw_call.py
@@ -0,0 +1,74 @@
+"""Calls an instance over a bare socket, and takes whatever comes back."""
+
+from dataclasses import dataclass
+
+from gevent.socket import create_connection
+
+from test.library import CALLER_KEY
+from turmericreel.protocols import headers
+
+DEADLINE_MS = 3_000
+CALL_TIMEOUT_S = 8.0
+
+
+@dataclass(kw_only=True)
+class Answer:
+    """What a caller saw of one call; `outcome` is "Lost" when nothing whole came."""
+
+    outcome: str
+    key: str = ""
+    request: str = ""
+    body: bytes = b""
+
+
+def call(address: str, path: str, body: bytes, **header: str) -> Answer:
+    """Call an instance and return what came, whatever it was."""
+    host, _, port = address.rpartition(":")
+    lines = [
+        f"POST {path} HTTP/1.1",
+        "Host: x",
+        "Connection: close",
+        "Content-Type: application/json",
+        f"Authorization: Bearer {CALLER_KEY}",
+        f"{headers.DEADLINE_MS}: {DEADLINE_MS}",
+        f"Content-Length: {len(body)}",
+        *(f"{name.replace('_', '-')}: {value}" for name, value in header.items()),
+    ]
+    received = b""
+    try:
+        sock = create_connection((host, int(port)), timeout=CALL_TIMEOUT_S)
+        with sock:
+            sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+            while data := sock.recv(65_536):
+                received += data
+    except OSError:
+        pass
+    head, _, rest = received.partition(b"\r\n\r\n")
+    found = {}
+    for line in head.decode().split("\r\n")[1:]:
+        name, _, value = line.partition(": ")
+        found[name.lower()] = value
+    whole = True
+    if found.get("transfer-encoding") == "chunked":
+        rest, whole = _unchunk(rest)
+    elif "content-length" in found:
+        whole = len(rest) == int(found["content-length"])
+    outcome = found.get(headers.OUTCOME.lower(), "Lost") if whole else "Lost"
+    return Answer(
+        outcome=outcome, request=found.get(headers.REQUEST_ID.lower(), ""), body=rest
+    )
+
+
+def _unchunk(data: bytes) -> tuple[bytes, bool]:
+    body = b""
+    while True:
+        size, _, data = data.partition(b"\r\n")
+        if not size:
+            return body, False
+        n_bytes = int(size, 16)
+        if n_bytes == 0:
+            return body, True
+        if len(data) < n_bytes + 2:
+            return body + data[:n_bytes], False
+        body += data[:n_bytes]
+        data = data[n_bytes + 2 :]
