Split the measurements of control by subject

Cause: bench/capacity_local.py (411 lines) measured texts, registry, views and leases, and load reports and evidence with stand-ins of their own.

Change: the latter stand in capacity_loads.py; the timer and the instance that both use in slopes.py and stand_ins.py.

--- /dev/null
+++ b/bench/capacity_loads.py
@@ -0,0 +1,166 @@
+"""Measures load reports and evidence of versions, by askers and by items."""
+
+from random import Random
+
+import msgspec
+
+from bench.slopes import Slope, fit, seconds_each
+from bench.stand_ins import backend_server, instance_info
+from turmericreel.control.evidence import EvidencePool
+from turmericreel.coordination.control_view import ControlView
+from turmericreel.coordination.load_exchange import LoadExchange, bind_datagrams
+from turmericreel.model.ids import (
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+)
+from turmericreel.model.servers import LoadReport
+from turmericreel.protocols.addresses import Address
+from turmericreel.protocols.control_messages import (
+    Hello,
+    ServerPresent,
+    ServersPush,
+)
+from turmericreel.protocols.evidence_messages import EvidenceItem, EvidenceReport
+from turmericreel.util.clock import ManualClock
+
+ASKERS = (2, 4, 8, 16)
+EVIDENCE_ITEMS = (35, 70, 140, 280)
+HOMED = 7
+RECEIVE_BYTES = 8_192
+
+
+class Counted:
+    """Sends every datagram to one sink on loopback, and counts it."""
+
+    def __init__(self):
+        self.sink = bind_datagrams(Address(host="127.0.0.1", port=0))
+        self.out = bind_datagrams(Address(host="127.0.0.1", port=0))
+        self.n_bytes = 0
+        self.n_sent = 0
+        self.last = b""
+
+    def sendto(self, datagram: bytes, address) -> None:
+        """Send and count."""
+        self.out.sendto(datagram, self.sink.getsockname())
+        self.n_bytes += len(datagram)
+        self.n_sent += 1
+        self.last = datagram
+
+
+class Viewed:
+    """Stands for a client; the exchange only reads its view and its name."""
+
+    def __init__(self, name: str, view: ControlView):
+        self.hello = Hello(
+            instance=InstanceId(name),
+            incarnation=Incarnation(1),
+            data_centre=DataCentreId("centre-0"),
+            http_address="",
+        )
+        self.view = view
+
+
+def load_slopes() -> dict[str, Slope]:
+    """Measure a home's answers by the number of instances that ask, and a receipt."""
+    answer, n_bytes, receive = [], [], []
+    for n_askers in ASKERS:
+        clock, sock = ManualClock(now=100.0), Counted()
+        home = _exchange("entry-000", clock, sock, n_askers)
+        for n in range(1, n_askers + 1):
+            asker = _exchange(f"entry-{n:03}", clock, Counted(), n_askers)
+            asker.ask()
+            home.receive(asker.socket.last, (f"10.1.0.{n}", 7084))
+        answer.append(seconds_each(lambda h=home, c=clock: _second(h, c)) * 1e6)
+        sock.n_bytes = 0
+        _second(home, clock)
+        n_bytes.append(sock.n_bytes)
+        receive.append(
+            n_askers * seconds_each(lambda a=asker, k=sock: _hear(a, k)) * 1e6
+        )
+    askers = list(ASKERS)
+    return {
+        "home's answers a second, us by askers": fit(askers, answer),
+        "home's answers a second, bytes by askers": fit(askers, n_bytes),
+        "digests received a second, us by homes": fit(askers, receive),
+    }
+
+
+def _hear(asker: LoadExchange, sock: Counted) -> None:
+    """Send one digest over loopback, receive it and take it in."""
+    sock.sink.sendto(sock.last, sock.sink.getsockname())
+    asker.receive(sock.sink.recv(RECEIVE_BYTES), ("10.1.0.0", 7084))
+
+
+def _exchange(name: str, clock: ManualClock, sock: Counted, n: int) -> LoadExchange:
+    view = ControlView()
+    view.apply_servers(
+        ServersPush(
+            since=0,
+            index=1,
+            present=tuple(
+                ServerPresent(server=backend_server(k), home=InstanceId("entry-000"))
+                for k in range(HOMED)
+            ),
+            whole=True,
+        )
+    )
+    for k in range(n + 1):
+        info = instance_info(k)
+        view.directory[info.instance] = info
+    return LoadExchange(
+        sock=sock,
+        control=Viewed(name, view),
+        report_load=lambda report, made_at: None,
+        clock=clock,
+        rng=Random(1),
+    )
+
+
+def _second(home: LoadExchange, clock: ManualClock) -> None:
+    clock.advance(0.001)
+    for n in range(HOMED):
+        server = backend_server(n)
+        home.publish(
+            LoadReport(
+                server=server.server,
+                incarnation=server.incarnation,
+                running=n,
+                waiting=1,
+                cache_blocks_used=0.5,
+            )
+        )
+    home.answer()
+
+
+def evidence_slopes() -> dict[str, Slope]:
+    """Measure evidence by server, by the number of items a second."""
+    n_bytes, pooled = [], []
+    for n_items in EVIDENCE_ITEMS:
+        items = tuple(evidence_item(n) for n in range(n_items))
+        report = EvidenceReport(items=items)
+        encoded = msgspec.msgpack.encode(report)
+        n_bytes.append(len(encoded))
+        pool = EvidencePool(clock=ManualClock(now=100.0))
+        decoder = msgspec.msgpack.Decoder(EvidenceReport)
+        pooled.append(
+            seconds_each(lambda p=pool, d=decoder, e=encoded: p.add(d.decode(e))) * 1e3
+        )
+    items = list(EVIDENCE_ITEMS)
+    return {
+        "evidence on the wire, bytes by items": fit(items, n_bytes),
+        "evidence pooled, ms by items": fit(items, pooled),
+    }
+
+
+def evidence_item(n: int) -> EvidenceItem:
+    """Return what one answer of one server adds."""
+    server = backend_server(n)
+    return EvidenceItem(
+        service=server.service,
+        version=server.versions[0],
+        server=server.server,
+        n_answers=1,
+        first_token_ms_sum=211.5,
+        first_token_counts=(0, 0, 1),
+    )
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,8 +1,10 @@
 """Lines through measurements, with how well they fit, and counters of processes."""
 
 import os
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from time import process_time
 
 import numpy
 
@@ -10,6 +12,9 @@
 MIN_POINTS = 4
 
 
+MIN_TIME_S = 0.3
+
+
 @dataclass(frozen=True, kw_only=True)
 class Slope:
     """A least-squares line.
@@ -70,3 +75,13 @@
         "p99": round(float(numpy.percentile(values, 99)), 1),
         "max": round(float(values.max()), 1),
     }
+
+
+def seconds_each(work: Callable[[], object]) -> float:
+    """Return processor seconds of one call, over many."""
+    n_calls = 0
+    began = process_time()
+    while process_time() - began < MIN_TIME_S:
+        work()
+        n_calls += 1
+    return (process_time() - began) / n_calls
--- a/bench/stand_ins.py
+++ b/bench/stand_ins.py
@@ -12,7 +12,7 @@
     VersionId,
 )
 from turmericreel.model.servers import BackendServer
-from turmericreel.protocols.control_messages import Hello
+from turmericreel.protocols.control_messages import Hello, InstanceInfo
 from turmericreel.util.clock import SystemClock
 
 LEASE_MS = 1_600
@@ -72,3 +72,13 @@
     )
     client.view.parses = parses
     return client
+
+
+def instance_info(n: int) -> InstanceInfo:
+    """Return an entry instance of the first data centre."""
+    return InstanceInfo(
+        instance=InstanceId(f"entry-{n:03}"),
+        data_centre=DataCentreId("centre-0"),
+        http_address=f"10.1.0.{n}:7080",
+        load_address=f"10.1.0.{n}:7084",
+    )
