--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -12,12 +12,16 @@
 
 from test.routing.library import SERVICE, make_configuration, make_route
 from turmericreel.coordinator.coordinator import Coordinator
-from turmericreel.fakes.routed_server import RoutedServer
+from turmericreel.fakes.routed_server import Misbehaviour, RoutedServer
 from turmericreel.gateway.gateway import Gateway
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.model.failures import FailureError, RoutingRejected
 from turmericreel.model.registered_server import RegisteredServer, ServerState
-from turmericreel.model.routing import RouteKind, RoutingConfiguration
+from turmericreel.model.routing import (
+    RolloutStage,
+    RouteKind,
+    RoutingConfiguration,
+)
 from turmericreel.model.routing_codec import RoutingCodec
 from turmericreel.model.routing_settings import CoordinatorSettings, GatewaySettings
 from turmericreel.util.clock import SystemClock
@@ -234,3 +238,24 @@
 def stream_route(prefix: str = "/stream/", **options):
     """Return a route of streams that may be resumed."""
     return make_route(prefix, kind=RouteKind.STREAM, resumable=True, **options)
+
+
+def roll_out_a_bad_version(system: SmallSystem) -> int:
+    """Roll out a version that fails, until that is undone; return what it ran.
+
+    Sessions call through all gateways in turn.
+    """
+    system.submit(make_route("/safe/", max_attempts=1))
+    system.add_server("s1", version="v1")
+    bad = system.add_server("s2", version="v2")
+    bad.misbehaviours.extend([Misbehaviour.FAIL] * 1_000)
+    system.leader.order_rollout(SERVICE, "v2", duration_ms=20_000)
+    machine = system.leader.machine
+    n = 0
+    while machine.rollouts[SERVICE].stage is not RolloutStage.ROLLED_BACK:
+        session = {NAMES.session.replace("-", "_"): f"session-{n}"}
+        system.call("/safe/1", n_gateway=n % len(system.gateways), **session)
+        n += 1
+        sleep(0.005)
+        assert n < 1_500
+    return len(bad.runs)
--- a/test/routing/test_coordinators.py
+++ b/test/routing/test_coordinators.py
@@ -4,8 +4,12 @@
 from gevent import sleep, spawn
 
 from test.routing.library import SERVICE, make_route
-from test.routing.small_system import NAMES, small_system, wait_until
-from turmericreel.fakes.routed_server import Misbehaviour
+from test.routing.small_system import (
+    NAMES,
+    roll_out_a_bad_version,
+    small_system,
+    wait_until,
+)
 from turmericreel.model.failures import FailureError, MemberRemoved, NotLeader
 from turmericreel.model.routing import RolloutStage
 
@@ -52,19 +56,7 @@
 
 
 def test_a_bad_rollout_is_rolled_back(system):
-    system.submit(make_route("/safe/", max_attempts=1))
-    system.add_server("s1", version="v1")
-    bad = system.add_server("s2", version="v2")
-    bad.misbehaviours.extend([Misbehaviour.FAIL] * 1_000)
-    system.leader.order_rollout(SERVICE, "v2", duration_ms=20_000)
-    machine = system.leader.machine
-    n = 0
-    while machine.rollouts[SERVICE].stage is not RolloutStage.ROLLED_BACK:
-        system.call("/safe/1", **{NAMES.session.replace("-", "_"): f"session-{n}"})
-        n += 1
-        sleep(0.005)
-        assert n < 1_500
-    assert len(bad.runs) < 50
+    assert roll_out_a_bad_version(system) < 50
 
 
 def test_several_coordinators_form_a_group_and_serve_on_without_one(tmp_path):
--- a/test/routing/test_many_coordinators.py
+++ b/test/routing/test_many_coordinators.py
@@ -3,16 +3,17 @@
 from random import Random
 
 import pytest
-from gevent import sleep
 from hypothesis import given
 from hypothesis import strategies as st
 
-from test.routing.library import SERVICE, make_route, make_server
-from test.routing.small_system import NAMES, small_system, wait_until
+from test.routing.library import make_route, make_server
+from test.routing.small_system import (
+    roll_out_a_bad_version,
+    small_system,
+    wait_until,
+)
 from turmericreel.decisions.coordinator_choice import LINK_LIMIT, choose_links
-from turmericreel.fakes.routed_server import Misbehaviour
 from turmericreel.model.failures import ControlUnavailable, FailureError, NotLeader
-from turmericreel.model.routing import RolloutStage
 
 SAFE = make_route("/safe/")
 NAMES_OF_MANY = [f"c{n}" for n in range(8)]
@@ -100,20 +101,7 @@
 
 
 def test_a_bad_version_is_found_with_the_evidence_of_all_gateways(many):
-    many.submit(make_route("/safe/", max_attempts=1))
-    many.add_server("s1", version="v1")
-    bad = many.add_server("s2", version="v2")
-    bad.misbehaviours.extend([Misbehaviour.FAIL] * 1_000)
-    many.leader.order_rollout(SERVICE, "v2", duration_ms=20_000)
-    machine = many.leader.machine
-    n = 0
-    while machine.rollouts[SERVICE].stage is not RolloutStage.ROLLED_BACK:
-        session = {NAMES.session.replace("-", "_"): f"session-{n}"}
-        many.call("/safe/1", n_gateway=n % 3, **session)
-        n += 1
-        sleep(0.005)
-        assert n < 1_500
-    assert len(bad.runs) < 50
+    assert roll_out_a_bad_version(many) < 50
 
 
 def test_a_coordinator_whose_seeds_are_replaced_joins_by_the_new_ones(tmp_path):
