Rename and cut files in memory as a folder does

Cause: MemoryDisk had no test of its own. Compared with a folder by hypothesis, a file renamed to its own name was lost, and cutting a file to more than its size did not fill it up.

Change: both as on a folder.

Result: test/storage/test_disks.py fails before (rename to itself; truncate beyond the end) and passes after.

--- /dev/null
+++ b/test/storage/test_disks.py
@@ -0,0 +1,50 @@
+"""Files in memory behave as those of a folder, whatever is done to them."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turmericreel.state.storage.disk import FolderDisk, MemoryDisk
+
+names = st.sampled_from(("a", "b"))
+operations = st.one_of(
+    st.tuples(st.just("append"), names, st.binary(max_size=5)),
+    st.tuples(st.just("truncate"), names, st.integers(0, 3)),
+    st.tuples(st.just("rename"), names, names),
+    st.tuples(st.just("remove"), names),
+    st.tuples(st.just("sync"), names),
+)
+
+
+def outcome(disk, operation):
+    """Return what comes of an operation: the names of files, or the refusal."""
+    call, *arguments = operation
+    if call in ("truncate", "sync") and arguments[0] not in disk.names():
+        # A folder makes an empty file of it; storage does this to none that is absent.
+        return "not tried"
+    try:
+        getattr(disk, call)(*arguments)
+    except FileNotFoundError:
+        return "not there"
+    return disk.names()
+
+
+@given(st.lists(operations, max_size=20))
+def test_memory_and_folder_agree(tmp_path_factory, done):
+    folder = FolderDisk(folder=tmp_path_factory.mktemp("disk"))
+    memory = MemoryDisk()
+    for operation in done:
+        assert outcome(memory, operation) == outcome(folder, operation)
+    for name in memory.names():
+        assert memory.read(name) == folder.read(name)
+        assert memory.read(name, offset=1, size=2) == folder.read(
+            name, offset=1, size=2
+        )
+    folder.close()
+
+
+def test_only_the_folder_outlives_its_process(tmp_path):
+    assert FolderDisk(folder=tmp_path).outlives_process
+    assert not MemoryDisk().outlives_process
+    with pytest.raises(FileNotFoundError):
+        MemoryDisk().read("a")
--- a/turmericreel/state/storage/disk.py
+++ b/turmericreel/state/storage/disk.py
@@ -85,15 +85,18 @@
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file."""
-        del self._file(name)[size:]
+        content = self._file(name)
+        del content[size:]
+        content.extend(bytes(size - len(content)))
 
     def sync(self, name: str) -> None:
         """Do nothing: there is nothing behind the memory."""
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file, over another if need be."""
-        self.files[new] = self._file(old)
+        content = self._file(old)
         del self.files[old]
+        self.files[new] = content
 
     def remove(self, name: str) -> None:
         """Remove a file."""
