Log the content of requests, lost connections, and the times of a roll-out

Cause: the logs could not show whether repeats of one content, one client attempt or a lost record reach servers again, nor why a slow version is not noticed.

Change: `gateway:sent` names the content's digest; `gateway:connection_lost` the server whose connection ended within an answer; `coordinator:rollout_judged` the running attempts and the mean time to the beginning of an answer.

--- a/test/routing/test_small_decisions.py
+++ b/test/routing/test_small_decisions.py
@@ -29,6 +29,7 @@
     REPORT_VALID_S,
     ServerLoads,
 )
+from turmericreel.model.ids import ContentDigest
 
 
 def candidates(loads):
@@ -166,6 +167,7 @@
 
 def make_request(headers, body=b"x"):
     return ClientRequest(
+        content=ContentDigest("content"),
         attempt_id="1",
         method="POST",
         target="/chat/1?q=2",
--- a/turmericreel/coordinator/rollout_task.py
+++ b/turmericreel/coordinator/rollout_task.py
@@ -89,11 +89,7 @@
             service=rollout.service,
             target=rollout.target,
             stage=stage.value,
-            evidence=[
-                f"{e.version}/{e.route}: {e.n_failed} of {e.n_sent} failed"
-                for e in evidence
-                if e.service == rollout.service
-            ],
+            evidence=[e.describe() for e in evidence if e.service == rollout.service],
         )
         self._move(rollout, stage)
 
--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -66,6 +66,7 @@
         self.last_read = clock.monotonic()
         self.timed_out = False
         self.was_reset = False
+        self.was_closed = False
         self.timer = get_hub().loop.timer(max(deadline - self.last_read, 0.0))
         self.timer.start(self._on_timer)
 
@@ -79,6 +80,11 @@
         """HTTP status code."""
         return self.parser.get_code()
 
+    @property
+    def connection_lost(self) -> bool:
+        """Whether the server closed or reset the connection within the answer."""
+        return (self.was_reset or self.was_closed) and not self.timed_out
+
     @property
     def reusable(self) -> bool:
         """Whether the connection may be reused for another request."""
@@ -160,6 +166,7 @@
             # The parser's own errors have no narrower common base class.
             raise self._unreachable(f"malformed HTTP: {error}") from error
         if not data and not self.parser.message_complete:
+            self.was_closed = True
             detail = "timed out without data" if self.timed_out else "connection closed"
             raise self._unreachable(detail)
         self.last_read = self.clock.monotonic()
--- a/turmericreel/gateway/application.py
+++ b/turmericreel/gateway/application.py
@@ -11,6 +11,7 @@
 from turmericreel.entry.application import RAW_PATH, SOCKET_KEY, STATUS_LINES
 from turmericreel.entry.caller_watch import CallerWatch
 from turmericreel.entry.http_server import BodyTimeoutError
+from turmericreel.entry.parse_request import content_digest
 from turmericreel.gateway.attempts import (
     MIN_SERVER_ERROR_STATUS,
     RETRY_AFTER_MS,
@@ -201,14 +202,21 @@
         client_limit_ms = headers.get(self.names.deadline_ms, "")
         if client_limit_ms.isdigit():
             limit_ms = min(limit_ms, int(client_limit_ms))
+        method = environ["REQUEST_METHOD"]
+        target = environ[TARGET_KEY]
+        body = self._read_body(environ)
+        account_id = account.account if account is not None else None
         return ClientRequest(
             attempt_id=headers.get(self.names.attempt_id, ""),
-            method=environ["REQUEST_METHOD"],
-            target=environ[TARGET_KEY],
+            method=method,
+            target=target,
             headers=end_to_end_headers(list(headers.items())),
-            body=self._read_body(environ),
+            body=body,
+            content=content_digest(
+                f"{account_id or ''} {method} {target}".encode(), body or b""
+            ),
             route=route,
-            account=account.account if account is not None else None,
+            account=account_id,
             arrived=arrived,
             deadline=arrived + limit_ms / 1_000,
             prefix_key=shared_prefix_key(headers.get(self.names.prompt_parts, "")),
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -210,6 +210,7 @@
         log_message(
             "gateway:sent",
             request=request.attempt_id,
+            content=request.content,
             route=request.route.name,
             server=server.server,
             service=server.service,
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from eliot import log_message
+
 from turmericreel.gateway.client_request import ClientRequest, Headers
 from turmericreel.gateway.evidence import AttemptCounter
 from turmericreel.gateway.server_exchange import ServerExchange
@@ -115,8 +117,19 @@
         self.is_open = False
         self.loads.of(self.server.server).n_running -= 1
         self.counter.record_end(failed=failed)
+        if failed and self.exchange.connection_lost:
+            self._log_connection_lost()
         self.exchange.end()
 
+    def _log_connection_lost(self) -> None:
+        log_message(
+            "gateway:connection_lost",
+            request=self.exchange.request.attempt_id,
+            content=self.exchange.request.content,
+            server=self.server.server,
+            incarnation=self.server.incarnation,
+        )
+
 
 def was_refused(failure: Failure) -> bool:
     """Return whether a server stated that it did not run the request."""
--- a/turmericreel/gateway/client_request.py
+++ b/turmericreel/gateway/client_request.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from turmericreel.gateway.header_names import HeaderNames
-from turmericreel.model.ids import ClientAccountId
+from turmericreel.model.ids import ClientAccountId, ContentDigest
 from turmericreel.model.routing import ModelName, Route
 
 HOP_BY_HOP = frozenset(
@@ -40,6 +40,9 @@
         Without hop-by-hop headers.
     body : bytes or None
         None if the request has none.
+    content : ContentDigest
+        Digest of the client account, method, target and body; a request that a client
+        sends again has the same.
     deadline : float
         Earlier of the client's and the route's, in seconds on the monotonic clock.
     prefix_key : str
@@ -59,6 +62,7 @@
     target: str
     headers: Headers
     body: bytes | None
+    content: ContentDigest
     route: Route
     account: ClientAccountId | None
     arrived: float
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -126,6 +126,8 @@
     used_stale_connection : bool
         Whether the attempt failed on a reused connection that the server had probably
         closed.
+    sending_failed : bool
+        Whether the connection broke while the request was being sent.
     """
 
     def __init__(
@@ -153,6 +155,14 @@
         self.connection: ServerConnection | None = None
         self.answer: ForwardedAnswer | None = None
         self.used_stale_connection = False
+        self.sending_failed = False
+
+    @property
+    def connection_lost(self) -> bool:
+        """Whether the server closed or reset the connection before its answer ended."""
+        if self.answer is None:
+            return self.sending_failed
+        return self.answer.connection_lost
 
     def begin(self, *, last_event_id: str | None) -> ForwardedAnswer:
         """Connect, send the request, and read the header of the answer.
@@ -256,6 +266,7 @@
                     ProofKind.NOT_DISPATCHED,
                     str(error),
                 ) from error
+            self.sending_failed = not isinstance(error, TimeoutError)
             raise self._outcome_unknown(str(error)) from error
 
     def _check_identity(self) -> None:
--- a/turmericreel/model/version_evidence.py
+++ b/turmericreel/model/version_evidence.py
@@ -29,3 +29,11 @@
     n_timed: int
     total_ms: float
     n_running: int
+
+    def describe(self) -> str:
+        """Return the counts for a log line."""
+        mean_ms = self.total_ms / max(self.n_timed, 1)
+        return (
+            f"{self.version}/{self.route}: {self.n_failed} of {self.n_sent} failed, "
+            f"{self.n_running} running, {self.n_timed} began after {mean_ms:.0f} ms"
+        )
