Refuse contents under which three servers ended, at all gateways

Callers saw servers end one after another, with everything that ran on them, while a client repeated one request.

Cause: the only limit on repeats was that of one client attempt at one gateway. The history of a content ended with its attempt, so each copy could end as many servers as its route allows.

The stream test failed by a parsing error of its own client as well; corrected, it fails on the old code by its bound.

Change: `ContentQuarantine` keeps which server processes ended under which content. Gateways and coordinators hold and exchange all records, which merge in any order, so a restart, a new leader or a partition loses none that any process still has. `CrashGuard` admits each attempt, whatever causes it. Heartbeats of a living process and completed copies refute the suspicion.

New tests cover a gateway that starts later, the loss and the restart of all coordinators, a restart of everything from the disks, silent servers, and connections that break at living servers.

--- /dev/null
+++ b/test/routing/test_content_quarantine.py
@@ -0,0 +1,182 @@
+"""Crash records merge in any order and are refuted by signs of life."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from test.routing.library import make_server
+from turmericreel.decisions.content_quarantine import (
+    CRASH_RETENTION_MS,
+    HEARTBEAT_DELAY_S,
+    MAX_CONTENTS,
+    MAX_CRASHES,
+    REFUTATION_DELAY_MS,
+    UNCONFIRMED_RETRY_AFTER_MS,
+    ContentQuarantine,
+)
+from turmericreel.gateway.crash_guard import UNRESOLVED_RETENTION_S, CrashGuard
+from turmericreel.model.failures import FailureError, NotRun, NotRunReason
+from turmericreel.model.ids import ContentDigest
+from turmericreel.model.server_crash import ServerCrash, ServerProcess
+from turmericreel.util.clock import ManualClock
+
+POISON = ContentDigest("poison")
+OTHER = ContentDigest("other")
+NOW_MS = 1_000
+
+
+def process(name: str, incarnation: int = 1) -> ServerProcess:
+    return ServerProcess(name, incarnation)
+
+
+def quarantine_with(n_crashes: int) -> ContentQuarantine:
+    quarantine = ContentQuarantine()
+    for n in range(n_crashes):
+        quarantine.record_crash(POISON, process(f"s{n}"), now=0.0, now_ms=NOW_MS)
+    return quarantine
+
+
+def test_several_copies_at_one_process_count_as_one_crash():
+    quarantine = ContentQuarantine()
+    for _ in range(5):
+        quarantine.record_crash(POISON, process("s1"), now=0.0, now_ms=NOW_MS)
+    quarantine.record_crash(POISON, process("s1", 2), now=0.0, now_ms=NOW_MS)
+    assert quarantine.n_crashes(POISON, now_ms=NOW_MS) == 2
+    assert quarantine.n_crashes(OTHER, now_ms=NOW_MS) == 0
+
+
+def test_process_that_sends_a_heartbeat_later_did_not_crash():
+    quarantine = quarantine_with(MAX_CRASHES)
+    assert quarantine.record_heartbeat(process("s0"), now=HEARTBEAT_DELAY_S / 2) == []
+    assert quarantine.record_heartbeat(process("s0", 2), now=9.0) == []
+    refuted = quarantine.record_heartbeat(process("s0"), now=HEARTBEAT_DELAY_S)
+    assert [crash.refuted for crash in refuted] == [True]
+    assert quarantine.n_crashes(POISON, now_ms=NOW_MS) == MAX_CRASHES - 1
+
+
+def test_content_that_completes_is_sound_at_all_gateways():
+    here, there = quarantine_with(MAX_CRASHES), quarantine_with(MAX_CRASHES)
+    there.merge(here.record_completion(POISON), now=0.0, now_ms=NOW_MS)
+    assert there.n_crashes(POISON, now_ms=NOW_MS) == 0
+    assert there.merge(quarantine_with(2).records(), now=0.0, now_ms=NOW_MS) == []
+    assert there.n_crashes(POISON, now_ms=NOW_MS) == 0
+
+
+def test_process_that_crashes_after_it_was_cleared_counts():
+    quarantine = quarantine_with(1)
+    quarantine.record_heartbeat(process("s0"), now=1.0)
+    quarantine.record_crash(POISON, process("s0"), now=2.0, now_ms=NOW_MS + 2_000)
+    assert quarantine.n_crashes(POISON, now_ms=NOW_MS + 2_000) == 1
+
+
+def test_crashes_expire_and_are_dropped():
+    quarantine = quarantine_with(MAX_CRASHES)
+    expired_ms = NOW_MS + CRASH_RETENTION_MS
+    assert quarantine.n_quarantined(now_ms=expired_ms - 1) == 1
+    assert quarantine.n_quarantined(now_ms=expired_ms) == 0
+    quarantine.drop_expired(now_ms=expired_ms)
+    assert quarantine.records() == ()
+    assert not quarantine.contents
+    assert not quarantine.earliest_refutation
+
+
+def test_refused_client_returns_early_only_while_the_crash_may_be_refuted():
+    quarantine = quarantine_with(MAX_CRASHES)
+    early = quarantine.retry_after_ms(POISON, now_ms=NOW_MS)
+    late_ms = NOW_MS + REFUTATION_DELAY_MS
+    late = quarantine.retry_after_ms(POISON, now_ms=late_ms)
+    assert early == UNCONFIRMED_RETRY_AFTER_MS
+    assert late_ms + late == NOW_MS + CRASH_RETENTION_MS
+
+
+def test_number_of_contents_is_bounded():
+    quarantine = ContentQuarantine()
+    for n in range(MAX_CONTENTS + 50):
+        content = ContentDigest(str(n))
+        quarantine.record_crash(content, process("s1"), now=0.0, now_ms=NOW_MS)
+    assert len(quarantine.crashes) == MAX_CONTENTS
+    assert len(quarantine.contents[process("s1")]) == MAX_CONTENTS
+
+
+CRASHES = st.builds(
+    ServerCrash,
+    content=st.sampled_from([POISON, OTHER]),
+    process=st.builds(
+        ServerProcess, st.sampled_from(["s1", "s2"]), st.sampled_from([1, 2])
+    ),
+    expires_ms=st.integers(NOW_MS + 1, NOW_MS + 5),
+    refuted=st.booleans(),
+)
+
+
+@given(st.lists(CRASHES, max_size=12), st.randoms(use_true_random=False))
+def test_records_merge_to_the_same_result_in_any_order(crashes, rng):
+    first, second = ContentQuarantine(), ContentQuarantine()
+    first.merge(crashes, now=0.0, now_ms=NOW_MS)
+    shuffled = crashes * 2
+    rng.shuffle(shuffled)
+    second.merge(shuffled, now=0.0, now_ms=NOW_MS)
+    assert set(first.records()) == set(second.records())
+    assert second.merge(first.records(), now=0.0, now_ms=NOW_MS) == []
+
+
+class GuardFixture:
+    """A guard, its clock and the records that it reported."""
+
+    def __init__(self):
+        self.clock = ManualClock(now=1_000.0)
+        self.reported: list[ServerCrash] = []
+        self.guard = CrashGuard(report=self.reported.extend, clock=self.clock)
+
+    def n_crashes(self) -> int:
+        now_ms = self.clock.wall_ms()
+        return self.guard.quarantine.n_crashes(POISON, now_ms=now_ms)
+
+
+@pytest.fixture
+def fixture():
+    return GuardFixture()
+
+
+def test_silent_server_that_ends_soon_afterwards_counts_as_crashed(fixture):
+    server = make_server("s1")
+    fixture.guard.record_unresolved(POISON, server, ended=False)
+    assert fixture.n_crashes() == 0
+    fixture.clock.advance(UNRESOLVED_RETENTION_S / 2)
+    fixture.guard.record_ended_server(server)
+    assert fixture.n_crashes() == 1
+    assert [crash.content for crash in fixture.reported] == [POISON]
+
+
+def test_server_that_ends_long_after_a_silent_attempt_did_not_end_under_it(fixture):
+    server = make_server("s1")
+    fixture.guard.record_unresolved(POISON, server, ended=False)
+    fixture.clock.advance(UNRESOLVED_RETENTION_S)
+    fixture.guard.record_ended_server(server)
+    assert fixture.n_crashes() == 0
+    fixture.guard.record_unresolved(POISON, server, ended=False)
+    fixture.clock.advance(UNRESOLVED_RETENTION_S)
+    fixture.guard.drop_expired()
+    assert not fixture.guard.unresolved
+
+
+def test_attempt_that_outlasts_its_server_counts_as_a_crash(fixture):
+    fixture.guard.record_unresolved(POISON, make_server("s1"), ended=True)
+    assert fixture.n_crashes() == 1
+
+
+def test_running_copies_and_crashes_together_stay_within_the_limit(fixture):
+    guard = fixture.guard
+    for _ in range(5):
+        guard.begin_attempt(POISON)
+    for _ in range(5):
+        guard.end_attempt(POISON)
+    guard.record_lost_connection(POISON, make_server("s1"))
+    for _ in range(MAX_CRASHES - 1):
+        guard.begin_attempt(POISON)
+    with pytest.raises(FailureError) as error:
+        guard.begin_attempt(POISON)
+    assert isinstance(error.value.failure, NotRun)
+    assert error.value.failure.reason is NotRunReason.QUARANTINED
+    guard.end_attempt(POISON)
+    guard.begin_attempt(POISON)
--- a/test/routing/test_hub.py
+++ b/test/routing/test_hub.py
@@ -15,6 +15,7 @@
     ServerWork,
 )
 from turmericreel.state.routing_machine import RoutingMachine
+from turmericreel.util.clock import ManualClock
 
 N_GATEWAYS = 80
 
@@ -37,7 +38,7 @@
         machine=RoutingMachine(),
         registry=ServerRegistry(expiry_s=4.0),
         heartbeat=lambda: Beat(coordinators=("c1",), leader="c1", term=1),
-        now=lambda: 0.0,
+        clock=ManualClock(),
     )
 
 
@@ -90,7 +91,7 @@
     hub.record_heartbeat(make_server())
     connect_gateway(hub, 1)
     kinds = [type(m).__name__ for m in connect_gateway(hub, 2).collect()]
-    assert kinds == ["Beat", "Servers", "Rollouts", "Gateways"]
+    assert kinds == ["Beat", "ServerCrashes", "Servers", "Rollouts", "Gateways"]
 
 
 def test_a_gateway_still_connected_to_a_peer_is_not_lost():
--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -1,10 +1,18 @@
 """A request that ends each server that runs it reaches at most three servers."""
 
 import pytest
-from gevent import joinall, spawn
+from gevent import joinall, sleep, spawn
+from geventhttpclient.response import HTTPParseError
 
 from test.routing.library import make_route
-from test.routing.small_system import NAMES, small_system, stream_route
+from test.routing.small_system import (
+    NAMES,
+    small_system,
+    stream_route,
+    wait_until,
+)
+from turmericreel.decisions.content_quarantine import HEARTBEAT_DELAY_S
+from turmericreel.fakes.routed_server import Misbehaviour
 from turmericreel.model.routing import RouteKind
 
 POISON = b"poison"
@@ -39,7 +47,7 @@
             body=POISON,
             **headers,
         )
-    except (OSError, ValueError):
+    except (OSError, HTTPParseError):
         return 0
     return status
 
@@ -72,3 +80,89 @@
         ]
     )
     assert count_ends(system) <= MAX_ENDS
+
+
+def quarantine(system) -> None:
+    """Send the poison until all gateways refuse it."""
+    for number in range(MAX_ENDS):
+        send_poison(system, "unsafe", number, gateway_index=0)
+    wait_until(
+        lambda: all(g.guard.n_quarantined() for g in system.gateways),
+        "quarantine at all gateways",
+    )
+
+
+def start_gateway(system) -> int:
+    """Start one more gateway and return its index."""
+    address = f"127.0.2.{len(system.gateways) + 1}:{system.control_port}"
+    system.gateways.append(system.start_gateway(address))
+    system.wait_for_revision(1)
+    return len(system.gateways) - 1
+
+
+def test_quarantined_request_is_refused_unrun_and_others_are_served(system):
+    quarantine(system)
+    for server in system.servers.values():
+        server.runs.clear()
+    status, headers, _ = system.call("/unsafe/1", method="POST", body=POISON)
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert not any(server.runs for server in system.servers.values())
+    assert system.call("/unsafe/1", method="POST", body=b"x")[0] == 200
+
+
+def test_quarantine_is_known_to_a_gateway_that_starts_later(system):
+    quarantine(system)
+    index = start_gateway(system)
+    assert send_poison(system, "unsafe", 9, gateway_index=index) == 503
+
+
+def test_quarantine_survives_the_loss_of_all_coordinators(system):
+    quarantine(system)
+    for coordinator in system.coordinators:
+        coordinator.stop()
+    assert send_poison(system, "unsafe", 9, gateway_index=0) == 503
+    system.coordinators = [
+        system.start_coordinator(seed, is_founder=True, has_disk=False)
+        for seed in system.seeds
+    ]
+    wait_until(
+        lambda: all(c.hub.quarantine.records() for c in system.coordinators),
+        "records at the new coordinators",
+    )
+
+
+def test_quarantine_survives_a_restart_of_all_gateways_and_coordinators(system):
+    quarantine(system)
+    wait_until(
+        lambda: all(c.cache.load().crashes for c in system.coordinators),
+        "records on disk",
+    )
+    for gateway in system.gateways:
+        gateway.links.stop()
+        gateway.ingress.stop(timeout=0)
+    for coordinator in system.coordinators:
+        coordinator.stop()
+    system.coordinators = [
+        system.start_coordinator(seed, is_founder=True) for seed in system.seeds
+    ]
+    system.gateways = []
+    index = start_gateway(system)
+    assert send_poison(system, "unsafe", 9, gateway_index=index) == 503
+
+
+def test_request_whose_connections_break_at_living_servers_is_served_again(system):
+    for server in system.servers.values():
+        server.fatal_bodies.clear()
+        server.misbehaviours.append(Misbehaviour.CUT_BEFORE)
+    for number in range(MAX_ENDS):
+        send_poison(system, "unsafe", number, gateway_index=0)
+    assert send_poison(system, "unsafe", 8, gateway_index=0) == 503
+    sleep(2 * HEARTBEAT_DELAY_S)
+    for name, server in system.servers.items():
+        server.misbehaviours.clear()
+        system.send_heartbeat(name)
+    wait_until(
+        lambda: send_poison(system, "unsafe", 9, gateway_index=0) == 200,
+        "the request to be served",
+    )
--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -129,7 +129,7 @@
             machine=self.machine,
             registry=ServerRegistry(expiry_s=expiry_s),
             heartbeat=self.heartbeat,
-            now=clock.monotonic,
+            clock=clock,
         )
         self.rollouts = RolloutTask(log=self.log, hub=self.hub, clock=clock)
         self.usage = UsageTask(log=self.log, hub=self.hub)
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -11,11 +11,13 @@
 from eliot import log_message
 from gevent.event import Event
 
+from turmericreel.decisions.content_quarantine import ContentQuarantine
 from turmericreel.decisions.server_health import ServerHealth
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.ids import BackendServerId, InstanceId
 from turmericreel.model.registered_server import RegisteredServer
+from turmericreel.model.server_crash import ServerCrash, process_of
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
 from turmericreel.protocols.routing_messages import (
@@ -26,12 +28,14 @@
     Rollouts,
     RoutingDocument,
     RoutingMessage,
+    ServerCrashes,
     Servers,
     ServerWork,
     UsageRecorded,
 )
 from turmericreel.state.routing_machine import RoutingMachine
 from turmericreel.state.routing_state_cache import RoutingState
+from turmericreel.util.clock import Clock
 
 
 class Session(ABC):
@@ -62,8 +66,7 @@
     registry : ServerRegistry
     heartbeat : callable
         Returns the current heartbeat message.
-    now : callable
-        Returns seconds on the monotonic clock.
+    clock : Clock
     """
 
     def __init__(
@@ -73,13 +76,14 @@
         machine: RoutingMachine,
         registry: ServerRegistry,
         heartbeat: Callable[[], Beat],
-        now: Callable[[], float],
+        clock: Clock,
     ):
         self.instance = instance
         self.machine = machine
         self.registry = registry
         self.heartbeat = heartbeat
-        self.now = now
+        self.clock = clock
+        self.now = clock.monotonic
         self.gateways: dict[InstanceId, GatewayEntry] = {}
         self.gateways_of_peers: dict[InstanceId, dict[InstanceId, GatewayInstance]] = {}
         self.changed_gateways: set[InstanceId] = set()
@@ -90,6 +94,7 @@
         self.changed = Event()
         self.health = ServerHealth()
         self.suspended: set[BackendServerId] = set()
+        self.quarantine = ContentQuarantine()
         self.work_sent = False
         self.routing_pending = False
         self.rollouts_pending = False
@@ -105,6 +110,7 @@
         """
         self.restored = state
         self.registry.restore(state.servers, now=self.now(), expiry_s=expiry_s)
+        self._merge_crashes(state.crashes)
 
     def distributed_state(self) -> RoutingState:
         """Return the state that this coordinator currently distributes."""
@@ -114,6 +120,7 @@
             document=routing.document,
             rollouts=self._rollouts().rollouts,
             servers=tuple(self.registry.servers.values()),
+            crashes=self.quarantine.records(),
         )
 
     def record_heartbeat(self, reported: RegisteredServer) -> None:
@@ -122,6 +129,21 @@
             self._publish_servers([reported])
         else:
             self.unchanged_heartbeats[reported.server] = reported
+        if self.registry.servers.get(reported.server) is reported:
+            process = process_of(reported)
+            self._publish_crashes(
+                self.quarantine.record_heartbeat(process, now=self.now())
+            )
+
+    def receive_crashes(self, crashes: Iterable[ServerCrash]) -> None:
+        """Merge the records of a gateway, and pass on what is new."""
+        self._publish_crashes(self._merge_crashes(crashes))
+
+    def receive_peer_crashes(self, crashes: Iterable[ServerCrash]) -> None:
+        """Merge the records of another coordinator, and send gateways what is new."""
+        changed = self._merge_crashes(crashes)
+        if changed:
+            self._send_to_gateways(ServerCrashes(crashes=tuple(changed)))
 
     def deregister_server(self, server: BackendServerId) -> None:
         """Deregister a server that is permanently gone."""
@@ -189,6 +211,7 @@
         """Add a coordinator and send it all registrations and own gateways."""
         self.peers[instance] = session
         session.send(Servers(servers=tuple(self.registry.servers.values())))
+        session.send(ServerCrashes(crashes=self.quarantine.records()))
         own = tuple(e.status.gateway for e in self.gateways.values())
         session.send(Gateways(gateways=own, complete=True))
 
@@ -309,7 +332,11 @@
         return tuple(pending)
 
     def _full_state(self) -> list[RoutingMessage]:
-        messages: list[RoutingMessage] = [self.heartbeat()]
+        # A gateway that is starting must not serve before it knows the crashes.
+        messages: list[RoutingMessage] = [
+            self.heartbeat(),
+            ServerCrashes(crashes=self.quarantine.records()),
+        ]
         if self._routing_source().revision:
             messages.append(self._routing())
         servers = tuple(self.registry.servers.values())
@@ -387,6 +414,19 @@
         for peer in self.peers.values():
             peer.send(message)
 
+    def _merge_crashes(self, crashes: Iterable[ServerCrash]) -> list[ServerCrash]:
+        now_ms = self.clock.wall_ms()
+        self.quarantine.drop_expired(now_ms=now_ms)
+        return self.quarantine.merge(crashes, now=self.now(), now_ms=now_ms)
+
+    def _publish_crashes(self, changed: list[ServerCrash]) -> None:
+        if not changed:
+            return
+        message = ServerCrashes(crashes=tuple(changed))
+        self._send_to_gateways(message)
+        for peer in self.peers.values():
+            peer.send(message)
+
     def _send_to_gateways(self, message: RoutingMessage) -> None:
         for entry in list(self.gateways.values()):
             entry.session.send(message)
--- a/turmericreel/coordinator/sessions.py
+++ b/turmericreel/coordinator/sessions.py
@@ -21,6 +21,7 @@
     GatewayStatus,
     GatewayWork,
     RoutingMessage,
+    ServerCrashes,
     Servers,
     ToCoordinator,
     ToGateway,
@@ -135,6 +136,8 @@
                     case GatewayWork():
                         instance = hello.gateway.instance
                         self.hub.receive_work(instance, message, session)
+                    case ServerCrashes():
+                        self.hub.receive_crashes(message.crashes)
         finally:
             session.stop()
             self.hub.remove_gateway(hello.gateway.instance, session)
@@ -146,6 +149,8 @@
                 match message:
                     case Servers():
                         self.hub.receive_peer_servers(message.servers)
+                    case ServerCrashes():
+                        self.hub.receive_peer_crashes(message.crashes)
                     case Gateways():
                         self.hub.receive_peer_gateways(hello.instance, message)
         finally:
--- /dev/null
+++ b/turmericreel/decisions/content_quarantine.py
@@ -0,0 +1,177 @@
+"""Quarantines contents that end the servers that run them.
+
+Intended workload: clients that repeat a request which crashes its servers, through any
+gateway.  Each client attempt is limited by its route, but the attempts together are
+not, so all gateways and coordinators keep the crashes of each content.  Records merge
+in any order, so one surviving process is enough to restore them.
+
+A broken connection counts as a crash until the server process is seen alive afterwards,
+because confirming a crash takes longer than a client needs to send the request again.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from turmericreel.model.ids import ContentDigest
+from turmericreel.model.server_crash import ServerCrash, ServerProcess
+
+MAX_CRASHES = 3
+CRASH_RETENTION_MS = 600_000
+# Heartbeats that were sent before the crash may still arrive after it.
+HEARTBEAT_DELAY_S = 0.5
+# Crashes that are older than this were not refuted by any heartbeat.
+REFUTATION_DELAY_MS = 5_000
+UNCONFIRMED_RETRY_AFTER_MS = 2_000
+# Bounds the memory; the contents that were recorded first are dropped.
+MAX_CONTENTS = 4_096
+
+
+class ContentQuarantine:
+    """Crashes of server processes by content.
+
+    Attributes
+    ----------
+    crashes : dict of ContentDigest to dict of ServerProcess to ServerCrash
+        Refuted crashes are kept until they expire, so that older copies of a record
+        do not restore them.
+    contents : dict of ServerProcess to set of ContentDigest
+    earliest_refutation : dict of ServerProcess to float
+        When a heartbeat is first known to be newer than the crash, in seconds on the
+        monotonic clock.
+    """
+
+    def __init__(self):
+        self.crashes: dict[ContentDigest, dict[ServerProcess, ServerCrash]] = {}
+        self.contents: dict[ServerProcess, set[ContentDigest]] = defaultdict(set)
+        self.earliest_refutation: dict[ServerProcess, float] = {}
+
+    def merge(
+        self, crashes: Iterable[ServerCrash], *, now: float, now_ms: int
+    ) -> list[ServerCrash]:
+        """Add records of another process; return those that changed anything here.
+
+        Parameters
+        ----------
+        crashes : iterable of ServerCrash
+        now : float
+            Seconds on the monotonic clock.
+        now_ms : int
+            Wall time in milliseconds.
+        """
+        return [crash for crash in crashes if self._merge_one(crash, now, now_ms)]
+
+    def record_crash(
+        self,
+        content: ContentDigest,
+        process: ServerProcess,
+        *,
+        now: float,
+        now_ms: int,
+    ) -> list[ServerCrash]:
+        """Record that a process ended while it ran a content; return the new record."""
+        crash = ServerCrash(
+            content=content, process=process, expires_ms=now_ms + CRASH_RETENTION_MS
+        )
+        return self.merge([crash], now=now, now_ms=now_ms)
+
+    def record_completion(self, content: ContentDigest) -> list[ServerCrash]:
+        """Refute all crashes of a content that ran to its end; return the changes."""
+        return self._refute(list(self.crashes.get(content, {}).values()))
+
+    def record_heartbeat(
+        self, process: ServerProcess, *, now: float
+    ) -> list[ServerCrash]:
+        """Refute the crashes of a process that is alive; return the changes.
+
+        Parameters
+        ----------
+        process : ServerProcess
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if now < self.earliest_refutation.get(process, 0.0):
+            return []
+        contents = self.contents.get(process, ())
+        return self._refute([self.crashes[c][process] for c in contents])
+
+    def n_crashes(self, content: ContentDigest, *, now_ms: int) -> int:
+        """Return the number of crashes that count against a content."""
+        return len(self._counted(content, now_ms))
+
+    def retry_after_ms(self, content: ContentDigest, *, now_ms: int) -> int:
+        """Return after how many milliseconds a refused content may be sent again."""
+        expiries = sorted(c.expires_ms for c in self._counted(content, now_ms))
+        newest_ms = expiries[-1] - CRASH_RETENTION_MS
+        if now_ms - newest_ms < REFUTATION_DELAY_MS:
+            return UNCONFIRMED_RETRY_AFTER_MS
+        return expiries[-MAX_CRASHES] - now_ms
+
+    def n_quarantined(self, *, now_ms: int) -> int:
+        """Return the number of contents that are refused."""
+        return sum(
+            self.n_crashes(content, now_ms=now_ms) >= MAX_CRASHES
+            for content in self.crashes
+        )
+
+    def records(self) -> tuple[ServerCrash, ...]:
+        """Return all records, including refuted ones."""
+        return tuple(c for known in self.crashes.values() for c in known.values())
+
+    def drop_expired(self, *, now_ms: int) -> None:
+        """Drop the contents of which all records have expired."""
+        for content, known in list(self.crashes.items()):
+            if all(crash.expires_ms <= now_ms for crash in known.values()):
+                self._drop(content)
+
+    def _merge_one(self, crash: ServerCrash, now: float, now_ms: int) -> bool:
+        if crash.expires_ms <= now_ms:
+            return False
+        known = self.crashes.get(crash.content, {}).get(crash.process)
+        if known is not None and _recency(crash) <= _recency(known):
+            return False
+        if crash.content not in self.crashes:
+            self._make_room()
+        self.crashes.setdefault(crash.content, {})[crash.process] = crash
+        self.contents[crash.process].add(crash.content)
+        if not crash.refuted:
+            self.earliest_refutation[crash.process] = now + HEARTBEAT_DELAY_S
+        return True
+
+    def _refute(self, crashes: list[ServerCrash]) -> list[ServerCrash]:
+        refuted = [
+            ServerCrash(
+                content=crash.content,
+                process=crash.process,
+                expires_ms=crash.expires_ms,
+                refuted=True,
+            )
+            for crash in crashes
+            if not crash.refuted
+        ]
+        for crash in refuted:
+            self.crashes[crash.content][crash.process] = crash
+        return refuted
+
+    def _counted(self, content: ContentDigest, now_ms: int) -> list[ServerCrash]:
+        return [
+            crash
+            for crash in self.crashes.get(content, {}).values()
+            if not crash.refuted and crash.expires_ms > now_ms
+        ]
+
+    def _make_room(self) -> None:
+        while len(self.crashes) >= MAX_CONTENTS:
+            self._drop(next(iter(self.crashes)))
+
+    def _drop(self, content: ContentDigest) -> None:
+        for process in self.crashes.pop(content):
+            self.contents[process].discard(content)
+            if not self.contents[process]:
+                del self.contents[process]
+                self.earliest_refutation.pop(process, None)
+
+
+def _recency(crash: ServerCrash) -> tuple[int, bool]:
+    # The same process may lose its connection again after an earlier crash of it was
+    # refuted; then the newer record counts.
+    return (crash.expires_ms, crash.refuted)
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -136,8 +136,14 @@
         raise BrokenPipeError(errno.EPIPE, "server ended on purpose")
 
     def _restart(self, address: Address) -> None:
-        self.http = self._listener(address)
-        self.http.start()
+        while True:
+            self.http = self._listener(address)
+            try:
+                self.http.start()
+                return
+            except OSError:
+                # An outgoing connection may use the port for a moment.
+                sleep(self.restart_delay_s)
 
     def _answer(self, environ: dict, start_response) -> Iterator[bytes]:
         body = environ["wsgi.input"].read()
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -9,10 +9,12 @@
 from turmericreel.gateway.attempts import (
     MIN_SERVER_ERROR_STATUS,
     Attempt,
+    AttemptEnd,
     RequestProgress,
     was_refused,
 )
 from turmericreel.gateway.client_request import ClientRequest
+from turmericreel.gateway.crash_guard import CrashGuard
 from turmericreel.gateway.evidence import EvidenceCounter
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.gateway.metrics import AttemptOutcome, GatewayMetrics
@@ -45,6 +47,7 @@
     evidence : EvidenceCounter
     metrics : GatewayMetrics
     usage : UsageCounter
+    guard : CrashGuard
     clock : Clock
     """
 
@@ -57,6 +60,7 @@
         evidence: EvidenceCounter,
         metrics: GatewayMetrics,
         usage: UsageCounter,
+        guard: CrashGuard,
         clock: Clock,
     ):
         self.chooser = chooser
@@ -65,6 +69,7 @@
         self.evidence = evidence
         self.metrics = metrics
         self.usage = usage
+        self.guard = guard
         self.clock = clock
         self.loads = chooser.loads
         self.connections = ServerConnections(clock=clock)
@@ -85,6 +90,7 @@
         FailureError
             With `NotRun` or `OutcomeUnknown`.
         """
+        self.guard.begin_attempt(request.content)
         now = self.clock.monotonic()
         exchange = ServerExchange(
             request=request,
@@ -98,7 +104,13 @@
             deadline=request.deadline,
         )
         counter = self.evidence.begin(server, request.route.name, now=now)
-        attempt = Attempt(exchange=exchange, counter=counter, loads=self.loads)
+        attempt = Attempt(
+            exchange=exchange,
+            counter=counter,
+            loads=self.loads,
+            guard=self.guard,
+            has_ended=self.chooser.view.has_ended,
+        )
         progress.tried.add(server.server)
         self.chooser.record_session(request, server, now)
         self._log_sent(request, server, progress, now)
@@ -113,11 +125,12 @@
                 self._count_run(request, server)
             if not (was_refused(error.failure) or exchange.used_stale_connection):
                 self.loads.record_failure(server.server, now=self.clock.monotonic())
-            attempt.end(failed=not isinstance(error.failure, NotRun))
+            not_run = isinstance(error.failure, NotRun)
+            attempt.end(AttemptEnd.NOT_RUN if not_run else AttemptEnd.BROKEN)
             raise
         except BaseException:
             # The client disconnected.
-            attempt.end(failed=False)
+            attempt.end(AttemptEnd.CANCELLED)
             raise
         finally:
             self.chooser.work.remove(server.server, prompt.full_prefill_ms)
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -1,12 +1,13 @@
 """The attempts of one request at servers, and their failures."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
 from eliot import log_message
 
 from turmericreel.gateway.client_request import ClientRequest, Headers
+from turmericreel.gateway.crash_guard import CrashGuard
 from turmericreel.gateway.evidence import AttemptCounter
 from turmericreel.gateway.server_exchange import ServerExchange
 from turmericreel.gateway.server_loads import ServerLoads
@@ -19,6 +20,7 @@
     ProofKind,
 )
 from turmericreel.model.ids import BackendServerId
+from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import ModelName
 
 # Delay before a refused client retries; a server may have become free by then.
@@ -79,9 +81,25 @@
             self.n_unreached += 1
 
 
+class AttemptEnd(Enum):
+    """How an attempt ended.
+
+    `ANSWERED` and `FAILED` have a complete answer; `FAILED` has the status of a server
+    error.  `BROKEN` has none although the request may have run, `CANCELLED` was given
+    up by the gateway or the client, and `NOT_RUN` was not run by the server.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    NOT_RUN = "not_run"
+
+
 class NoRetryReason(Enum):
     """Why a request is not retried."""
 
+    QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     MAY_HAVE_RUN = "may_have_run"
     ATTEMPTS = "attempts"
@@ -98,29 +116,61 @@
 
 
 class Attempt:
-    """One attempt of a request at a server, with its counters."""
+    """One attempt of a request at a server, with its counters.
+
+    Parameters
+    ----------
+    exchange : ServerExchange
+    counter : AttemptCounter
+    loads : ServerLoads
+    guard : CrashGuard
+        Has admitted the attempt.
+    has_ended : callable
+        Returns whether a server process is known to have ended.
+    """
 
     def __init__(
-        self, *, exchange: ServerExchange, counter: AttemptCounter, loads: ServerLoads
+        self,
+        *,
+        exchange: ServerExchange,
+        counter: AttemptCounter,
+        loads: ServerLoads,
+        guard: CrashGuard,
+        has_ended: Callable[[RegisteredServer], bool],
     ):
         self.exchange = exchange
         self.server = exchange.server
         self.counter = counter
         self.loads = loads
+        self.guard = guard
+        self.has_ended = has_ended
         self.is_open = True
         loads.of(self.server.server).n_running += 1
 
-    def end(self, *, failed: bool) -> None:
+    def end(self, how: AttemptEnd) -> None:
         """Count the end and release the connection; later calls do nothing."""
         if not self.is_open:
             return
         self.is_open = False
         self.loads.of(self.server.server).n_running -= 1
-        self.counter.record_end(failed=failed)
-        if failed and self.exchange.connection_lost:
-            self._log_connection_lost()
+        self.counter.record_end(failed=how in (AttemptEnd.FAILED, AttemptEnd.BROKEN))
+        self._tell_guard(how)
         self.exchange.end()
 
+    def _tell_guard(self, how: AttemptEnd) -> None:
+        content = self.exchange.request.content
+        self.guard.end_attempt(content)
+        match how:
+            case AttemptEnd.ANSWERED | AttemptEnd.FAILED:
+                self.guard.record_completion(content)
+            case AttemptEnd.BROKEN if self.exchange.connection_lost:
+                self._log_connection_lost()
+                self.guard.record_lost_connection(content, self.server)
+            case AttemptEnd.BROKEN | AttemptEnd.CANCELLED:
+                self.guard.record_unresolved(
+                    content, self.server, ended=self.has_ended(self.server)
+                )
+
     def _log_connection_lost(self) -> None:
         log_message(
             "gateway:connection_lost",
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -11,6 +11,7 @@
     MIN_SERVER_ERROR_STATUS,
     Answer,
     Attempt,
+    AttemptEnd,
     LargerModelWanted,
     NoRetryReason,
     RequestProgress,
@@ -19,6 +20,7 @@
     unknown_outcome_failure,
 )
 from turmericreel.gateway.client_request import ClientRequest
+from turmericreel.gateway.crash_guard import is_quarantine_failure
 from turmericreel.gateway.event_stream import EventSplitter, EventStreamError
 from turmericreel.gateway.metrics import AttemptOutcome
 from turmericreel.gateway.server_chooser import ServerChooser, is_no_server_failure
@@ -108,7 +110,7 @@
     ) -> Answer:
         attempt, server_answer = self.starter.begin(request, server, progress)
         # A client disconnect does not count as a failure of the server.
-        failed = False
+        how = AttemptEnd.CANCELLED
         try:
             if _is_stream(request, server_answer):
                 self._check_larger_model(request, attempt, server_answer, progress)
@@ -118,21 +120,22 @@
                     request, service, streamed, server_answer, progress
                 )
             answer = self._read_whole_answer(request, server_answer)
-            failed = server_answer.status >= MIN_SERVER_ERROR_STATUS
-            if failed:
+            if server_answer.status >= MIN_SERVER_ERROR_STATUS:
+                how = AttemptEnd.FAILED
                 self._record_failure(server)
             else:
+                how = AttemptEnd.ANSWERED
                 self.chooser.loads.record_success(server.server)
                 self.starter.count_answer(request, server)
             return answer
         except FailureError:
-            failed = True
+            how = AttemptEnd.BROKEN
             if attempt is not None:
                 self._record_failure(server)
             raise
         finally:
             if attempt is not None:
-                attempt.end(failed=failed)
+                attempt.end(how)
 
     def _record_failure(self, server: RegisteredServer) -> None:
         self.chooser.loads.record_failure(server.server, now=self.clock.monotonic())
@@ -208,7 +211,7 @@
         delivered = False
         while True:
             # A client disconnect does not count as a failure of the server.
-            failed = False
+            how = AttemptEnd.CANCELLED
             try:
                 server_answer.set_idle_timeout(
                     RESUMABLE_STREAM_IDLE_TIMEOUT_S
@@ -225,12 +228,13 @@
                     raise EventStreamError("the stream ended inside an event")
                 self.chooser.loads.record_success(attempt.server.server)
                 self.starter.count_answer(request, attempt.server)
+                how = AttemptEnd.ANSWERED
                 return
             except (FailureError, EventStreamError) as error:
-                failed = True
+                how = AttemptEnd.BROKEN
                 detail = str(error)
             finally:
-                attempt.end(failed=failed)
+                attempt.end(how)
             self._record_failure(attempt.server)
             if not delivered:
                 raise unknown_outcome_failure(request, detail)
@@ -258,7 +262,8 @@
             except FailureError as error:
                 detail = error.failure.describe()
                 progress.n_unreached += 1
-                if progress.n_unreached > MAX_UNREACHED:
+                is_final = is_quarantine_failure(error.failure)
+                if is_final or progress.n_unreached > MAX_UNREACHED:
                     raise interrupted_failure(request, detail) from error
                 continue
             log_message(
@@ -270,7 +275,7 @@
             )
             if server_answer.status == 200:
                 return attempt, server_answer
-            attempt.end(failed=True)
+            attempt.end(AttemptEnd.BROKEN)
             detail = f"status {server_answer.status} when resuming"
 
     def _may_retry_after(
@@ -287,6 +292,8 @@
         )
         if not progress.tried or is_no_server_failure(error.failure):
             return False
+        if is_quarantine_failure(error.failure):
+            return False
         return self._may_retry(request, progress)
 
     def _may_retry(self, request: ClientRequest, progress: RequestProgress) -> bool:
@@ -307,6 +314,8 @@
     ) -> NoRetryReason | None:
         """Return why not to retry, or None after taking a retry from the budget."""
         now = self.clock.monotonic()
+        if self.starter.guard.is_quarantined(request.content):
+            return NoRetryReason.QUARANTINED
         if request.deadline - now < MIN_TIME_LEFT_S:
             return NoRetryReason.DEADLINE
         if progress.may_have_run and not request.route.is_idempotent:
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -13,6 +13,7 @@
 from turmericreel.decisions.windowed_budget import WindowedBudget
 from turmericreel.gateway.application import GatewayApplication
 from turmericreel.gateway.attempt_starter import AttemptStarter
+from turmericreel.gateway.crash_guard import CrashGuard
 from turmericreel.gateway.dispatcher import Dispatcher
 from turmericreel.gateway.evidence import EvidenceCounter
 from turmericreel.gateway.header_names import HeaderNames
@@ -78,10 +79,15 @@
         self.usage = UsageCounter(
             gateway=settings.instance, incarnation=self.incarnation
         )
+        self.guard = CrashGuard(
+            report=lambda crashes: self.links.send_crashes(crashes), clock=clock
+        )
         self.view = GatewayView(
             codec=codec,
             on_usage_recorded=self.usage.confirm_recorded,
             on_work=lambda work: self.chooser.receive_work(work),
+            on_crashes=self.guard.receive,
+            on_server_ended=self.guard.record_ended_server,
         )
         self.evidence = EvidenceCounter()
         rng = SystemRandom()
@@ -103,6 +109,7 @@
             evidence=self.evidence,
             metrics=metrics,
             usage=self.usage,
+            guard=self.guard,
             clock=clock,
         )
         budget = WindowedBudget(
@@ -123,6 +130,7 @@
         collector = GatewayCollector(
             view=self.view,
             n_running=lambda: self.application.n_running,
+            n_quarantined=self.guard.n_quarantined,
             n_suspended=lambda: self.chooser.loads.n_suspended(now=clock.monotonic()),
             n_log_lines_dropped=n_log_lines_dropped,
         )
@@ -139,6 +147,7 @@
             view=self.view,
             status=self.status,
             work=self._work_report,
+            crashes=self.guard.quarantine.records,
             on_change=self._on_view_change,
             rng=rng,
         )
@@ -240,5 +249,6 @@
 
     def _on_view_change(self) -> None:
         self.chooser.loads.drop_unregistered(set(self.view.servers))
+        self.guard.drop_expired()
         self.links.trigger_choice()
         self.links.report_now()
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -16,12 +16,14 @@
 from turmericreel.gateway.view import GatewayView
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import InstanceId
+from turmericreel.model.server_crash import ServerCrash
 from turmericreel.protocols.addresses import parse_address
 from turmericreel.protocols.frames import FrameStream
 from turmericreel.protocols.routing_messages import (
     GatewayHello,
     GatewayStatus,
     GatewayWork,
+    ServerCrashes,
     ToGateway,
 )
 from turmericreel.protocols.sockets import set_unacknowledged_timeout
@@ -55,6 +57,8 @@
         Returns the gateway's current status report.
     work : callable
         Returns the gateway's current report of pending work and attempt outcomes.
+    crashes : callable
+        Returns all records of servers that ended under requests.
     on_change : callable
         Called when the view has changed.
     """
@@ -66,21 +70,35 @@
         view: GatewayView,
         status: Callable[[], GatewayStatus],
         work: Callable[[], GatewayWork],
+        crashes: Callable[[], tuple[ServerCrash, ...]],
         on_change: Callable[[], None],
     ):
         self.address = parse_address(address)
         self.view = view
         self.status = status
         self.work = work
+        self.crashes = crashes
+        self.unsent_crashes: list[ServerCrash] = []
         self.on_change = on_change
         self.connected = False
         self.n_failures = 0
-        self.report_due = Event()
+        self.status_due = False
+        self.wakes_reporter = Event()
         self.task: Greenlet = spawn(self._run)
 
     def report_now(self) -> None:
         """Send the status now instead of at the next interval."""
-        self.report_due.set()
+        self.status_due = True
+        self.wakes_reporter.set()
+
+    def send_crashes(self, crashes: list[ServerCrash]) -> None:
+        """Send records now.
+
+        Without a connection they are dropped, because all are sent on connecting.
+        """
+        if self.connected:
+            self.unsent_crashes += crashes
+            self.wakes_reporter.set()
 
     def stop(self) -> None:
         """Close the connection."""
@@ -116,6 +134,8 @@
         reporter = None
         try:
             stream.send(GatewayHello(gateway=self.status().gateway))
+            # The coordinators may have restarted and lost what they knew.
+            self.unsent_crashes = list(self.crashes())
             reporter = spawn(self._report, stream)
             while (message := stream.receive()) is not None:
                 if not self.connected:
@@ -135,15 +155,15 @@
     def _report(self, stream: FrameStream) -> None:
         try:
             while True:
+                self.status_due = False
                 stream.send(self.status())
                 self._report_work(stream)
-                self.report_due.clear()
         except FailureError:
             # The receiving loop fails as well and logs the reason.
             stream.close()
 
     def _report_work(self, stream: FrameStream) -> None:
-        """Send work reports until the next status is due."""
+        """Send work and crash reports until the next status is due."""
         was_sent = False
         n_gateways = len(self.view.gateways)
         pause_s = min(
@@ -151,7 +171,10 @@
             STATUS_INTERVAL_S,
         )
         for _ in range(max(int(STATUS_INTERVAL_S / pause_s), 1)):
-            if self.report_due.wait(timeout=pause_s):
+            self._report_crashes(stream)
+            self.wakes_reporter.wait(timeout=pause_s)
+            self.wakes_reporter.clear()
+            if self.status_due:
                 return
             work = self.work()
             has_work = bool(work.work_ms or work.outcomes)
@@ -159,6 +182,11 @@
                 stream.send(work)
             was_sent = has_work
 
+    def _report_crashes(self, stream: FrameStream) -> None:
+        if self.unsent_crashes:
+            crashes, self.unsent_crashes = self.unsent_crashes, []
+            stream.send(ServerCrashes(crashes=tuple(crashes)))
+
 
 class CoordinatorLinks:
     """Task that keeps links open to some of the known coordinators.
@@ -170,7 +198,7 @@
     address_of : callable
         Returns the address at which a coordinator listens for instances.
     view : GatewayView
-    status, work, on_change : callable
+    status, work, crashes, on_change : callable
         As for `CoordinatorLink`.
     rng : Random
     """
@@ -183,6 +211,7 @@
         view: GatewayView,
         status: Callable[[], GatewayStatus],
         work: Callable[[], GatewayWork],
+        crashes: Callable[[], tuple[ServerCrash, ...]],
         on_change: Callable[[], None],
         rng: Random,
     ):
@@ -191,6 +220,7 @@
         self.view = view
         self.status = status
         self.work = work
+        self.crashes = crashes
         self.on_change = on_change
         self.rng = rng
         self.links: dict[InstanceId, CoordinatorLink] = {}
@@ -218,6 +248,11 @@
         for link in self.links.values():
             link.report_now()
 
+    def send_crashes(self, crashes: list[ServerCrash]) -> None:
+        """Send new records of servers that ended under requests on all links."""
+        for link in self.links.values():
+            link.send_crashes(crashes)
+
     def choose(self) -> None:
         """Choose the coordinators to link to; open and close links accordingly."""
         change = choose_links(
@@ -238,6 +273,7 @@
             view=self.view,
             status=self.status,
             work=lambda: self._work_for(instance),
+            crashes=self.crashes,
             on_change=self.on_change,
         )
 
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -93,6 +93,8 @@
     view : GatewayView
     n_running : callable
         Returns the number of requests in progress.
+    n_quarantined : callable
+        Returns the number of contents that are refused because servers ended.
     n_suspended : callable
         Returns the number of suspended servers.
     n_log_lines_dropped : callable
@@ -104,11 +106,13 @@
         *,
         view: GatewayView,
         n_running: Callable[[], int],
+        n_quarantined: Callable[[], int],
         n_suspended: Callable[[], int],
         n_log_lines_dropped: Callable[[], int],
     ):
         self.view = view
         self.n_running = n_running
+        self.n_quarantined = n_quarantined
         self.n_suspended = n_suspended
         self.n_log_lines_dropped = n_log_lines_dropped
 
@@ -129,6 +133,11 @@
             "Gateways that accept clients, by the local view.",
             value=sum(g.takes_clients for g in self.view.gateways),
         )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_quarantined",
+            "Contents that are refused because servers ended while running them.",
+            value=self.n_quarantined(),
+        )
         yield GaugeMetricFamily(
             "turmericreel_gateway_suspended",
             "Servers suspended because they fail at several gateways.",
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -23,11 +23,13 @@
 from turmericreel.model.registered_server import RegisteredServer, ServerState
 from turmericreel.model.routing import Rollout, RolloutStage
 from turmericreel.model.routing_codec import RoutingCodec
+from turmericreel.model.server_crash import ServerCrash
 from turmericreel.protocols.routing_messages import (
     Beat,
     Gateways,
     Rollouts,
     RoutingDocument,
+    ServerCrashes,
     Servers,
     ServerWork,
     UsageRecorded,
@@ -52,6 +54,11 @@
         Called with the incarnation and number of each usage batch that is recorded.
     on_work : callable
         Called with each `ServerWork` message.
+    on_crashes : callable
+        Called with the records of each `ServerCrashes` message.
+    on_server_ended : callable
+        Called with the last registration of each server process that ended without
+        being deregistered.
     """
 
     def __init__(
@@ -60,10 +67,14 @@
         codec: RoutingCodec,
         on_usage_recorded: Callable[[Incarnation, int], None],
         on_work: Callable[[ServerWork], None],
+        on_crashes: Callable[[tuple[ServerCrash, ...]], None],
+        on_server_ended: Callable[[RegisteredServer], None],
     ):
         self.codec = codec
         self.on_usage_recorded = on_usage_recorded
         self.on_work = on_work
+        self.on_crashes = on_crashes
+        self.on_server_ended = on_server_ended
         self.table: RouteTable | None = None
         self.servers: dict[BackendServerId, RegisteredServer] = {}
         self.by_service: dict[ServiceName, list[RegisteredServer]] = {}
@@ -135,6 +146,8 @@
                 self.on_usage_recorded(message.incarnation, message.number)
             case ServerWork():
                 self.on_work(message)
+            case ServerCrashes():
+                self.on_crashes(message.crashes)
             case Beat():
                 return self._receive_heartbeat(message, source)
         return False
@@ -155,6 +168,15 @@
         """Return the usable servers of a service."""
         return self.by_service.get(service, [])
 
+    def has_ended(self, server: RegisteredServer) -> bool:
+        """Return whether a server process is known to have ended unexpectedly."""
+        known = self.servers.get(server.server)
+        if known is None:
+            return False
+        return (
+            known.incarnation > server.incarnation or known.state is ServerState.EXPIRED
+        )
+
     def _receive_routing(self, message: RoutingDocument) -> bool:
         if message.revision <= self.revision:
             return False
@@ -174,6 +196,7 @@
             if known is not None and not server.supersedes(known):
                 continue
             self.servers[server.server] = server
+            self._report_ended_servers(server, known)
             if known is None or known.state is not server.state:
                 changed = True
                 _log_server(server)
@@ -181,6 +204,25 @@
             self._index_servers()
         return changed
 
+    def _report_ended_servers(
+        self, server: RegisteredServer, known: RegisteredServer | None
+    ) -> None:
+        """Report the processes that a new registration shows to have ended."""
+        if known is None:
+            # A restarted server may register at its old address under another id.
+            replaced = [
+                other
+                for other in self.servers.values()
+                if other.address == server.address
+                and other.server != server.server
+                and other.incarnation <= server.incarnation
+            ]
+        else:
+            replaced = [known] if self.has_ended(known) else []
+        for ended in replaced:
+            if ended.state is not ServerState.GONE:
+                self.on_server_ended(ended)
+
     def _index_servers(self) -> None:
         by_service: dict[ServiceName, list[RegisteredServer]] = defaultdict(list)
         for server in self.servers.values():
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -7,6 +7,7 @@
 from turmericreel.model.ids import BackendServerId, Incarnation, InstanceId, Revision
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
+from turmericreel.model.server_crash import ServerCrash
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
 
@@ -137,6 +138,12 @@
     rollouts: tuple[Rollout, ...]
 
 
+class ServerCrashes(RoutingMessage):
+    """New or changed records of servers that ended under requests, or all of them."""
+
+    crashes: tuple[ServerCrash, ...]
+
+
 ToCoordinator = (
     GatewayHello
     | GatewayStatus
@@ -145,7 +152,15 @@
     | Servers
     | Gateways
     | Beat
+    | ServerCrashes
 )
 ToGateway = (
-    Beat | RoutingDocument | Servers | Gateways | Rollouts | UsageRecorded | ServerWork
+    Beat
+    | RoutingDocument
+    | Servers
+    | Gateways
+    | Rollouts
+    | UsageRecorded
+    | ServerWork
+    | ServerCrashes
 )
--- a/turmericreel/reports/explain.py
+++ b/turmericreel/reports/explain.py
@@ -20,6 +20,7 @@
         "gateway:server",
         "gateway:rollout",
         "gateway:suspended",
+        "gateway:quarantined",
         "gateway:coordinator_lost",
         "gateway:coordinator_connected",
         "log:dropped",
--- a/turmericreel/state/routing_state_cache.py
+++ b/turmericreel/state/routing_state_cache.py
@@ -13,6 +13,7 @@
 from turmericreel.model.ids import Revision
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
+from turmericreel.model.server_crash import ServerCrash
 from turmericreel.state.storage.disk import Disk
 from turmericreel.state.storage.small_files import read_file, replace_file
 
@@ -26,6 +27,7 @@
     document: bytes = b""
     rollouts: tuple[Rollout, ...] = ()
     servers: tuple[RegisteredServer, ...] = ()
+    crashes: tuple[ServerCrash, ...] = ()
 
 
 class RoutingStateCache:
