Reproduce a slow version that is rolled out, as a known failure

Cause: callers of the new version waited eight times as long for each event, and the roll-out was completed.

Change: a test with two versions whose events differ in their pauses.

--- a/test/routing/test_small_day.py
+++ b/test/routing/test_small_day.py
@@ -1,7 +1,7 @@
 """End-to-end tests of requests, streams and retries in a small system."""
 
 import pytest
-from gevent import sleep, spawn
+from gevent import joinall, sleep, spawn
 
 from test.routing.library import SERVICE, make_route
 from test.routing.small_system import (
@@ -10,9 +10,10 @@
     stream_route,
     wait_until,
 )
+from turmericreel.decisions.version_split import is_canary, session_hash
 from turmericreel.fakes.routed_server import Misbehaviour
 from turmericreel.model.registered_server import ServerState
-from turmericreel.model.routing import RouteKind
+from turmericreel.model.routing import RolloutStage, RolloutState, RouteKind
 
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 SAFE = make_route("/safe/")
@@ -26,7 +27,9 @@
 
 
 def stream(system, path="/stream/1", **headers):
-    return system.call(path, method="POST", body=b"x", Accept="text/event-stream")
+    return system.call(
+        path, method="POST", body=b"x", Accept="text/event-stream", **headers
+    )
 
 
 def test_gateway_without_configuration_answers_503(system):
@@ -274,3 +277,31 @@
     for _ in range(4):
         assert system.call("/safe/1")[0] == 200
     streaming.kill()
+
+
+def sessions_by_version():
+    """Yield names of sessions alternately inside and outside the canary share."""
+    names = [f"session-{n}" for n in range(4_000)]
+    canaries = [name for name in names if is_canary(session_hash(name))]
+    others = [name for name in names if not is_canary(session_hash(name))]
+    for pair in zip(canaries, others, strict=False):
+        yield from pair
+
+
+def test_version_whose_events_come_slowly_is_rolled_back(tmp_path):
+    with small_system(tmp_path, n_gateways=2) as system:
+        system.submit(stream_route(max_attempts=1, timeout_ms=20_000))
+        system.add_server("s1", version="v1", n_events=24, event_pause_s=0.005)
+        system.add_server("s2", version="v2", n_events=24, event_pause_s=0.04)
+        system.leader.order_rollout(SERVICE, "v2", duration_ms=6_000)
+        machine = system.leader.machine
+        sessions = sessions_by_version()
+
+        def call(number):
+            while machine.rollouts[SERVICE].stage.state is RolloutState.IN_PROGRESS:
+                session = {NAMES.session.replace("-", "_"): next(sessions)}
+                stream(system, gateway_index=number % 2, **session)
+                sleep(0.02)
+
+        joinall([spawn(call, number) for number in range(4)], raise_error=True)
+        assert machine.rollouts[SERVICE].stage is RolloutStage.ROLLED_BACK
