Judge a roll-out by how long callers wait

Callers of a new version waited eight times as long for each event; the roll-out was completed, or more requests reached the version than an unproven one may get.

Cause: the mean time to the header was compared. A stream that is slow between its events sends its header in time, attempts without an answer were not counted at all, and the lengths of the prompts dominate the mean.

Change: gateways count the waits for the first event and the mean waits over eight events, in buckets, and those that go on or were given up by their time so far. A version is rolled back if, on one route or on all together, significantly more waits exceed a multiple of the old version's median on that route than at the old version itself.

--- a/test/routing/library.py
+++ b/test/routing/library.py
@@ -23,6 +23,7 @@
     TrafficShare,
 )
 from turmericreel.model.version_evidence import VersionEvidence
+from turmericreel.model.wait_counts import WaitCounts, bucket_of
 
 SERVICE = ServiceName("assistant")
 BOOKINGS = ServiceName("bookings")
@@ -121,16 +122,20 @@
     mean_ms: float = 50.0,
     route: str = "route",
 ) -> VersionEvidence:
-    """Return the evidence of a gateway about a version."""
+    """Return the evidence of a gateway about a version.
+
+    All attempts that did not fail waited `mean_ms` for their answer.
+    """
     return VersionEvidence(
         service=SERVICE,
         version=VersionId(version),
         route=RouteName(route),
         n_sent=n_sent,
         n_failed=n_failed,
-        n_timed=n_sent - n_failed,
-        total_ms=mean_ms * (n_sent - n_failed),
         n_running=n_running,
+        first_waits=WaitCounts(
+            finished={bucket_of(mean_ms / 1_000): n_sent - n_failed}
+        ),
     )
 
 
--- a/test/routing/test_rollouts.py
+++ b/test/routing/test_rollouts.py
@@ -1,6 +1,7 @@
 """Roll-outs split requests by session and are judged by evidence of all gateways."""
 
 import pytest
+from msgspec.structs import replace
 
 from test.routing.library import (
     SERVICE,
@@ -15,13 +16,16 @@
     servers_for_rollout,
     session_hash,
 )
+from turmericreel.gateway.evidence import EVENTS_PER_WAIT, EvidenceCounter
 from turmericreel.gateway.recent_sessions import RecentSessions
-from turmericreel.model.routing import RolloutStage
+from turmericreel.model.routing import RolloutStage, RouteName
+from turmericreel.model.wait_counts import WaitCounts, bucket_of
 
 OLD = make_server("old", version="v1")
 NEW = make_server("new", version="v2")
 CANARY_HASH = 0
 OTHER_HASH = 2**64 - 1
+ROUTE = RouteName("route")
 
 
 def allowed_versions(stage, hashed, *, is_bound=False, servers=(OLD, NEW)):
@@ -151,3 +155,105 @@
     assert judge(busy, new, stage=RolloutStage.SWITCHED, now=9.1) is (
         RolloutStage.COMPLETED
     )
+
+
+def make_waits(*, n_fast=0, n_slow=0, n_waiting=0, fast_ms=100.0, slow_ms=800.0):
+    return WaitCounts(
+        finished={
+            bucket_of(fast_ms / 1_000): n_fast,
+            bucket_of(slow_ms / 1_000): n_slow,
+        },
+        unfinished={bucket_of(slow_ms / 1_000): n_waiting},
+    )
+
+
+def with_waits(evidence, *, first=None, events=None):
+    return replace(
+        evidence,
+        first_waits=first or evidence.first_waits,
+        event_waits=events or evidence.event_waits,
+    )
+
+
+OLD_WAITS = make_waits(n_fast=200)
+
+
+def test_version_of_which_a_third_of_the_answers_is_slow_is_rolled_back():
+    old = with_waits(make_evidence("v1", n_sent=200), first=OLD_WAITS)
+    slow = make_waits(n_fast=20, n_slow=10)
+    new = with_waits(make_evidence("v2", n_sent=30), first=slow)
+    assert judge(old, new) is RolloutStage.ROLLED_BACK
+
+
+def test_version_that_is_slow_between_events_is_rolled_back():
+    old = with_waits(make_evidence("v1", n_sent=200), events=OLD_WAITS)
+    slow = make_waits(n_fast=2, n_slow=8, slow_ms=300.0)
+    new = with_waits(make_evidence("v2", n_sent=10, mean_ms=50), events=slow)
+    assert judge(old, new) is RolloutStage.ROLLED_BACK
+
+
+def test_version_that_answers_nothing_in_time_is_rolled_back():
+    old = with_waits(make_evidence("v1", n_sent=200), first=OLD_WAITS)
+    waiting = make_waits(n_fast=1, n_waiting=6)
+    new = with_waits(make_evidence("v2", n_sent=7, n_running=6), first=waiting)
+    assert judge(old, new) is RolloutStage.ROLLED_BACK
+
+
+def test_version_that_is_slow_on_few_requests_of_each_route_is_rolled_back():
+    evidence = []
+    for route in ("a", "b", "c"):
+        old = make_evidence("v1", n_sent=200, route=route)
+        new = make_evidence("v2", n_sent=3, route=route)
+        evidence.append(with_waits(old, first=OLD_WAITS))
+        evidence.append(with_waits(new, first=make_waits(n_fast=1, n_slow=2)))
+    assert judge(*evidence[:2]) is None
+    assert judge(*evidence) is RolloutStage.ROLLED_BACK
+
+
+def test_good_version_is_switched_to_and_completed_while_the_old_one_is_slow():
+    old = with_waits(
+        make_evidence("v1", n_sent=200),
+        first=make_waits(n_fast=100, n_slow=100),
+        events=make_waits(n_fast=100, n_slow=100),
+    )
+    new = with_waits(
+        make_evidence("v2", n_sent=60), first=make_waits(n_fast=54, n_slow=6)
+    )
+    assert judge(old, new, now=6.5) is RolloutStage.SWITCHED
+    assert judge(old, new, stage=RolloutStage.SWITCHED, now=9.1) is (
+        RolloutStage.COMPLETED
+    )
+
+
+def test_differences_that_callers_do_not_notice_are_no_slowness():
+    fast = make_waits(n_fast=200, fast_ms=2.0)
+    old = with_waits(make_evidence("v1", n_sent=200), first=fast, events=fast)
+    slower = make_waits(n_fast=30, fast_ms=16.0)
+    new = with_waits(make_evidence("v2", n_sent=30), first=slower, events=slower)
+    assert judge(old, new) is None
+
+
+def test_attempts_are_counted_by_what_callers_wait_for():
+    counter = EvidenceCounter()
+    server = make_server("s1")
+    first = counter.begin(server, ROUTE, now=0.0)
+    counter.begin(server, ROUTE, now=0.0)
+    first.record_events(1, now=0.1)
+    for n in range(EVENTS_PER_WAIT):
+        first.record_events(1, now=0.1 + 0.2 * (n + 1))
+    (evidence,) = counter.for_services({SERVICE}, now=1.7)
+    assert evidence.first_waits.finished == {bucket_of(0.1): 1}
+    assert evidence.first_waits.unfinished == {bucket_of(1.7): 1}
+    assert evidence.event_waits.finished == {bucket_of(0.2): 1}
+    assert evidence.n_running == 2
+
+
+def test_attempt_that_is_given_up_counts_as_a_wait_of_at_least_its_time():
+    counter = EvidenceCounter()
+    given_up = counter.begin(make_server("s1"), ROUTE, now=0.0)
+    given_up.record_end(failed=False, ran=True, now=3.0)
+    refused = counter.begin(make_server("s1"), ROUTE, now=0.0)
+    refused.record_end(failed=False, ran=False, now=3.0)
+    (evidence,) = counter.for_services({SERVICE}, now=9.0)
+    assert evidence.first_waits.unfinished == {bucket_of(3.0): 1}
+    assert evidence.n_running == 0
--- a/test/routing/test_small_day.py
+++ b/test/routing/test_small_day.py
@@ -165,7 +165,7 @@
     sock.close()
     wait_until(lambda: server.n_ended_streams == 1, "the stream's end")
     (counts,) = system.gateways[0].evidence.counts.values()
-    assert (counts["n_running"], counts["n_failed"]) == (0, 0)
+    assert (len(counts.running), counts.n_failed) == (0, 0)
 
 
 def test_stream_ends_at_the_route_timeout(system):
@@ -291,8 +291,8 @@
 def test_version_whose_events_come_slowly_is_rolled_back(tmp_path):
     with small_system(tmp_path, n_gateways=2) as system:
         system.submit(stream_route(max_attempts=1, timeout_ms=20_000))
-        system.add_server("s1", version="v1", n_events=24, event_pause_s=0.005)
-        system.add_server("s2", version="v2", n_events=24, event_pause_s=0.04)
+        system.add_server("s1", version="v1", n_events=12, event_pause_s=0.02)
+        system.add_server("s2", version="v2", n_events=12, event_pause_s=0.16)
         system.leader.order_rollout(SERVICE, "v2", duration_ms=6_000)
         machine = system.leader.machine
         sessions = sessions_by_version()
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -154,7 +154,6 @@
             self.metrics.record_attempt_end(AttemptOutcome.FAILED)
             return
         self.metrics.record_attempt_end(AttemptOutcome.ANSWERED)
-        attempt.counter.record_answer(now=now)
         self.chooser.speed.record(
             server.service,
             request.model or ModelName(""),
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -85,13 +85,15 @@
     """How an attempt ended.
 
     `ANSWERED` and `FAILED` have a complete answer; `FAILED` has the status of a server
-    error.  `BROKEN` has none although the request may have run, `CANCELLED` was given
-    up by the gateway or the client, and `NOT_RUN` was not run by the server.
+    error.  `BROKEN` has none although the request may have run, `DROPPED` began well
+    but a larger model is to answer, `CANCELLED` was given up by the client, and
+    `NOT_RUN` was not run by the server.
     """
 
     ANSWERED = "answered"
     FAILED = "failed"
     BROKEN = "broken"
+    DROPPED = "dropped"
     CANCELLED = "cancelled"
     NOT_RUN = "not_run"
 
@@ -153,7 +155,11 @@
             return
         self.is_open = False
         self.loads.of(self.server.server).n_running -= 1
-        self.counter.record_end(failed=how in (AttemptEnd.FAILED, AttemptEnd.BROKEN))
+        self.counter.record_end(
+            failed=how in (AttemptEnd.FAILED, AttemptEnd.BROKEN),
+            ran=how is not AttemptEnd.NOT_RUN,
+            now=self.exchange.clock.monotonic(),
+        )
         self._tell_guard(how)
         self.exchange.end()
 
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -125,9 +125,14 @@
                 self._record_failure(server)
             else:
                 how = AttemptEnd.ANSWERED
+                attempt.counter.record_events(1, now=self.clock.monotonic())
                 self.chooser.loads.record_success(server.server)
                 self.starter.count_answer(request, server)
             return answer
+        except LargerModelWanted:
+            how = AttemptEnd.DROPPED
+            attempt.counter.record_events(1, now=self.clock.monotonic())
+            raise
         except FailureError:
             how = AttemptEnd.BROKEN
             if attempt is not None:
@@ -222,6 +227,9 @@
                     events = splitter.feed(block)
                     if events is not None:
                         delivered = True
+                        attempt.counter.record_events(
+                            events.count, now=self.clock.monotonic()
+                        )
                         self.starter.count_events(request, attempt.server, events.count)
                         yield events.data
                 if splitter.pending:
--- a/turmericreel/gateway/evidence.py
+++ b/turmericreel/gateway/evidence.py
@@ -1,59 +1,151 @@
 """Counts the attempts at each service version, to evaluate roll-outs."""
 
+from collections import Counter
+from dataclasses import dataclass, field
+
 from turmericreel.model.ids import ServiceName, VersionId
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import RouteName
 from turmericreel.model.version_evidence import VersionEvidence
+from turmericreel.model.wait_counts import WaitCounts, bucket_of
 
 CountsKey = tuple[ServiceName, VersionId, RouteName]
 
+# Events over which the wait for an event is averaged, so that a single pause between
+# two events does not count as slowness.
+EVENTS_PER_WAIT = 8
+MIN_EVENTS_PER_WAIT = 2
+
+
+@dataclass(kw_only=True)
+class AttemptCounts:
+    """Counts of the attempts at one version on one route."""
+
+    n_sent: int = 0
+    n_failed: int = 0
+    first_finished: Counter[int] = field(default_factory=Counter)
+    first_given_up: Counter[int] = field(default_factory=Counter)
+    event_finished: Counter[int] = field(default_factory=Counter)
+    event_given_up: Counter[int] = field(default_factory=Counter)
+    running: set["AttemptCounter"] = field(default_factory=set)
+
+    def first_waits(self, *, now: float) -> WaitCounts:
+        """Return the waits for the first event, with those that go on."""
+        unfinished = self.first_given_up + Counter(
+            bucket_of(now - a.began) for a in self.running if not a.has_answer
+        )
+        return WaitCounts(
+            finished=dict(self.first_finished), unfinished=dict(unfinished)
+        )
+
+    def event_waits(self, *, now: float) -> WaitCounts:
+        """Return the mean waits for an event, with those that go on."""
+        unfinished = self.event_given_up + Counter(
+            a.unfinished_event_wait(now) for a in self.running if a.has_answer
+        )
+        return WaitCounts(
+            finished=dict(self.event_finished), unfinished=dict(unfinished)
+        )
+
 
 class AttemptCounter:
-    """Counts one attempt in progress; its end is counted once."""
+    """Counts one attempt in progress; its end is counted once.
 
-    def __init__(self, *, counts: dict, began: float):
+    Parameters
+    ----------
+    counts : AttemptCounts
+    began : float
+        Seconds on the monotonic clock.
+    """
+
+    def __init__(self, *, counts: AttemptCounts, began: float):
         self.counts = counts
         self.began = began
         self.is_open = True
-        counts["n_sent"] += 1
-        counts["n_running"] += 1
+        self.has_answer = False
+        self.n_events = 0
+        self.block_began = began
+        self.last_event_at = began
+        counts.n_sent += 1
+        counts.running.add(self)
+
+    def record_events(self, n_events: int, *, now: float) -> None:
+        """Record events of a stream, or once a whole answer."""
+        self.last_event_at = now
+        if not self.has_answer:
+            self.has_answer = True
+            self.counts.first_finished[bucket_of(now - self.began)] += 1
+            self.block_began = now
+            return
+        self.n_events += n_events
+        if self.n_events >= EVENTS_PER_WAIT:
+            self._finish_block()
 
-    def record_answer(self, *, now: float) -> None:
-        """Record the time to the first byte of a successful answer."""
-        self.counts["n_timed"] += 1
-        self.counts["total_ms"] += (now - self.began) * 1_000
+    def record_end(self, *, failed: bool, ran: bool, now: float) -> None:
+        """Count the end of the attempt.
 
-    def record_end(self, *, failed: bool) -> None:
-        """Count the end of the attempt."""
-        if self.is_open:
-            self.is_open = False
-            self.counts["n_running"] -= 1
-            self.counts["n_failed"] += failed
+        Parameters
+        ----------
+        failed : bool
+        ran : bool
+            Whether the server may have run the request.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.counts.running.discard(self)
+        self.counts.n_failed += failed
+        if not ran:
+            return
+        if not self.has_answer:
+            self.counts.first_given_up[bucket_of(now - self.began)] += 1
+            return
+        self.counts.event_given_up[self.unfinished_event_wait(now)] += 1
+        if self.n_events >= MIN_EVENTS_PER_WAIT:
+            self._finish_block()
+
+    def unfinished_event_wait(self, now: float) -> int:
+        """Return the bucket of the least mean wait that the current block can have."""
+        return bucket_of((now - self.block_began) / EVENTS_PER_WAIT)
+
+    def _finish_block(self) -> None:
+        wait_s = (self.last_event_at - self.block_began) / self.n_events
+        self.counts.event_finished[bucket_of(wait_s)] += 1
+        self.block_began = self.last_event_at
+        self.n_events = 0
 
 
 class EvidenceCounter:
     """Counts attempts by service, version and route since the process started."""
 
     def __init__(self):
-        self.counts: dict[CountsKey, dict] = {}
+        self.counts: dict[CountsKey, AttemptCounts] = {}
 
     def begin(
         self, server: RegisteredServer, route: RouteName, *, now: float
     ) -> AttemptCounter:
         """Count the start of an attempt."""
         key = (server.service, server.version, route)
-        counts = self.counts.get(key)
-        if counts is None:
-            counts = dict.fromkeys(
-                ("n_sent", "n_failed", "n_timed", "total_ms", "n_running"), 0
-            )
-            self.counts[key] = counts
+        counts = self.counts.setdefault(key, AttemptCounts())
         return AttemptCounter(counts=counts, began=now)
 
-    def for_services(self, services: set[ServiceName]) -> tuple[VersionEvidence, ...]:
+    def for_services(
+        self, services: set[ServiceName], *, now: float
+    ) -> tuple[VersionEvidence, ...]:
         """Return the evidence about the given services."""
         return tuple(
-            VersionEvidence(service=service, version=version, route=route, **counts)
+            VersionEvidence(
+                service=service,
+                version=version,
+                route=route,
+                n_sent=counts.n_sent,
+                n_failed=counts.n_failed,
+                n_running=len(counts.running),
+                first_waits=counts.first_waits(now=now),
+                event_waits=counts.event_waits(now=now),
+            )
             for (service, version, route), counts in self.counts.items()
             if service in services
         )
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -188,7 +188,7 @@
                 takes_clients=self.is_ready,
             ),
             revision=self.view.revision,
-            evidence=self.evidence.for_services(evaluated),
+            evidence=self.evidence.for_services(evaluated, now=self.clock.monotonic()),
             rollouts_seen=tuple(
                 rollout.without_sessions() for rollout in self.view.rollouts.values()
             ),
--- a/turmericreel/model/version_evidence.py
+++ b/turmericreel/model/version_evidence.py
@@ -4,6 +4,7 @@
 
 from turmericreel.model.ids import ServiceName, VersionId
 from turmericreel.model.routing import RouteName
+from turmericreel.model.wait_counts import WaitCounts
 
 
 class VersionEvidence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -13,12 +14,12 @@
     ----------
     n_sent, n_failed : int
         Attempts sent and failed.
-    n_timed : int
-        Answers whose time to first byte was measured.
-    total_ms : float
-        Sum of these times in milliseconds.
     n_running : int
         Attempts that are running now.
+    first_waits : WaitCounts
+        Waits for the whole answer, or for the first event of a stream.
+    event_waits : WaitCounts
+        Mean waits for an event, over a few successive ones of a stream.
     """
 
     service: ServiceName
@@ -26,14 +27,19 @@
     route: RouteName
     n_sent: int
     n_failed: int
-    n_timed: int
-    total_ms: float
     n_running: int
+    first_waits: WaitCounts = WaitCounts()
+    event_waits: WaitCounts = WaitCounts()
 
     def describe(self) -> str:
         """Return the counts for a log line."""
-        mean_ms = self.total_ms / max(self.n_timed, 1)
         return (
             f"{self.version}/{self.route}: {self.n_failed} of {self.n_sent} failed, "
-            f"{self.n_running} running, {self.n_timed} began after {mean_ms:.0f} ms"
+            f"{self.n_running} running, "
+            f"first waits {_describe(self.first_waits)}, "
+            f"event waits {_describe(self.event_waits)}"
         )
+
+
+def _describe(waits: WaitCounts) -> str:
+    return f"{waits.finished} unfinished {waits.unfinished}"
