Bound the requests that reach a version before its faults can show

Cause: all traffic moved to the new version at 62% of the roll-out's time. A fault that shows only then is found after two seconds at the earliest, in which a hundred requests arrive; the canary's tenth was spread over all new servers, each of which had little load.

Change: the switch waits until the requests until the deadline fit the exposure limit of the settings.

--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -17,6 +17,7 @@
 from turmericreel.coordinator.rollout_task import RolloutTask
 from turmericreel.coordinator.sessions import PeerSession, SessionListener
 from turmericreel.coordinator.usage_task import UsageTask
+from turmericreel.decisions.rollout_judge import ExposureLimit
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.check_routing import check_routing
 from turmericreel.model.failures import (
@@ -64,6 +65,9 @@
 MIN_WORK_INTERVAL_S = 0.1
 # The interval grows with the number of gateways, which bounds the total traffic.
 WORK_INTERVAL_PER_GATEWAY_S = 0.002
+# Requests that are on their way, or were counted by gateways that are lost, are not in
+# the counts that the exposure limit is compared with.
+EXPOSURE_SLACK_FRACTION = 0.5
 LOG_FOLDER = "log"
 CACHE_FOLDER = "cache"
 
@@ -131,7 +135,15 @@
             heartbeat=self.heartbeat,
             clock=clock,
         )
-        self.rollouts = RolloutTask(log=self.log, hub=self.hub, clock=clock)
+        self.rollouts = RolloutTask(
+            log=self.log,
+            hub=self.hub,
+            limit=ExposureLimit(
+                share=settings.exposure_share,
+                slack=settings.exposure_slack * EXPOSURE_SLACK_FRACTION,
+            ),
+            clock=clock,
+        )
         self.usage = UsageTask(log=self.log, hub=self.hub)
         self.listener = SessionListener(
             address=parse_address(f"{host}:{settings.internal_port}"),
--- a/turmericreel/coordinator/rollout_task.py
+++ b/turmericreel/coordinator/rollout_task.py
@@ -7,16 +7,22 @@
 
 from turmericreel.coordination.replicated_log import ReplicatedLog
 from turmericreel.coordinator.hub import Hub
-from turmericreel.decisions.rollout_judge import judge_rollout
+from turmericreel.decisions.rollout_judge import (
+    ExposureLimit,
+    describe_evidence,
+    judge_rollout,
+)
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import ServiceName
 from turmericreel.model.routing import Rollout, RolloutStage, RolloutState
+from turmericreel.model.version_evidence import VersionEvidence
 from turmericreel.state.commands.union import LogRecord
 from turmericreel.state.routing_machine import MoveRollout, OrderRollout
 from turmericreel.util.clock import Clock
 
 JUDGE_INTERVAL_S = 0.2
 PROPOSE_TIMEOUT_S = 0.9
+MIN_RATE_SPAN_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -28,6 +34,30 @@
     deadline: float
 
 
+class RequestRate:
+    """Measures the rate of a service's requests during one stage of a roll-out.
+
+    Parameters
+    ----------
+    rollout : Rollout
+    n_sent : int
+        Attempts that were sent so far, over all gateways.
+    now : float
+        Seconds on the monotonic clock.
+    """
+
+    def __init__(self, *, rollout: Rollout, n_sent: int, now: float):
+        self.rollout = rollout
+        self.n_sent = n_sent
+        self.began = now
+
+    def per_second(self, n_sent: int, *, now: float) -> float | None:
+        """Return the rate since the start, or None shortly after it."""
+        if now - self.began < MIN_RATE_SPAN_S:
+            return None
+        return max(n_sent - self.n_sent, 0) / (now - self.began)
+
+
 class RolloutTask:
     """Evaluates roll-outs and proposes their next stages.
 
@@ -35,13 +65,18 @@
     ----------
     log : ReplicatedLog
     hub : Hub
+    limit : ExposureLimit
     clock : Clock
     """
 
-    def __init__(self, *, log: ReplicatedLog, hub: Hub, clock: Clock):
+    def __init__(
+        self, *, log: ReplicatedLog, hub: Hub, limit: ExposureLimit, clock: Clock
+    ):
         self.log = log
         self.hub = hub
+        self.limit = limit
         self.clock = clock
+        self.rates: dict[ServiceName, RequestRate] = {}
         self.spans: dict[ServiceName, RolloutSpan] = {}
         self.task: Greenlet | None = None
 
@@ -81,6 +116,8 @@
             deadline=span.deadline,
             now=self.clock.monotonic(),
             seen_by_all=self._seen_by_all(rollout),
+            limit=self.limit,
+            rate=self._rate(rollout, evidence),
         )
         if stage is None:
             return
@@ -89,10 +126,21 @@
             service=rollout.service,
             target=rollout.target,
             stage=stage.value,
-            evidence=[e.describe() for e in evidence if e.service == rollout.service],
+            evidence=describe_evidence(rollout, evidence),
         )
         self._move(rollout, stage)
 
+    def _rate(self, rollout: Rollout, evidence: list[VersionEvidence]) -> float | None:
+        now = self.clock.monotonic()
+        n_sent = sum(e.n_sent for e in evidence if e.service == rollout.service)
+        measured = self.rates.get(rollout.service)
+        # Gateways send their counts once they have applied the first stage, and a lost
+        # gateway takes its counts away.
+        if measured is None or measured.rollout != rollout or n_sent < measured.n_sent:
+            measured = RequestRate(rollout=rollout, n_sent=n_sent, now=now)
+            self.rates[rollout.service] = measured
+        return measured.per_second(n_sent, now=now)
+
     def _move(self, rollout: Rollout, stage: RolloutStage) -> None:
         bound = self.hub.sessions() if stage is RolloutStage.CANARY else ()
         command = MoveRollout(
--- a/turmericreel/model/routing_settings.py
+++ b/turmericreel/model/routing_settings.py
@@ -60,6 +60,10 @@
         Port for log replication between coordinators, the same on all machines.
     heartbeat_ms : int
         Interval between heartbeats of servers.
+    exposure_share : float
+        Maximum share of a service's requests at a new version during its roll-out.
+    exposure_slack : int
+        Requests that it may get in addition.
     """
 
     instance: InstanceId
@@ -70,6 +74,8 @@
     internal_port: int
     raft_port: int
     heartbeat_ms: int
+    exposure_share: float = 0.15
+    exposure_slack: int = 30
 
 
 def internal_address(instance: InstanceId, port: int) -> str:
--- a/turmericreel/model/wait_counts.py
+++ b/turmericreel/model/wait_counts.py
@@ -55,6 +55,11 @@
     return int(BUCKETS_PER_DOUBLING * log2(max(wait_s * 1_000, 1.0)))
 
 
+def duration_ms(bucket: int) -> float:
+    """Return the upper bound of a bucket in milliseconds."""
+    return 2 ** ((bucket + 1) / BUCKETS_PER_DOUBLING)
+
+
 def sum_of(counts: Iterable[WaitCounts]) -> WaitCounts:
     """Return the sums of several counts."""
     finished: Counter[int] = Counter()
--- a/turmericreel/platform/settings.py
+++ b/turmericreel/platform/settings.py
@@ -77,6 +77,8 @@
         internal_port=settings.internal_port_range[0],
         raft_port=settings.internal_port_range[0] + 1,
         heartbeat_ms=settings.heartbeat_ms,
+        exposure_share=settings.bounds.canary_share,
+        exposure_slack=settings.bounds.canary_slack,
     )
 
 
--- a/turmericreel/platform/wire.py
+++ b/turmericreel/platform/wire.py
@@ -162,7 +162,7 @@
 
 
 class BoundsEntry(PlatformStruct):
-    """Limits on draining, stopping, sessions, retries and address lists."""
+    """Limits on draining, stopping, sessions, retries, roll-outs and address lists."""
 
     drain_ms: int = 2_000
     grace_s: float = 8
@@ -170,6 +170,8 @@
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10
     budget_slack: float = 10
+    canary_share: float = 0.15
+    canary_slack: int = 30
     ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5)
 
 
