Cut off answers of servers that never end

Callers of a server that sends chunk extensions or trailers without an end waited until their deadline, while the gateway collected the bytes. A complete answer followed by bytes that are no answer was replaced by a failure.

Cause: only the header before the body had a limit. Each body had one, but not the sum of the bodies that are being read.

Change: 64 KB without a byte of the body end an answer, wherever they come; incomplete bodies share a buffer of 32 MB, from which small answers are exempt; bytes after the end of an answer are dropped with the connection.

--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from gevent import get_hub
-from geventhttpclient.response import HTTPResponse
+from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from turmericreel.entry.server_connections import ServerConnection
 from turmericreel.model.failures import FailureError, PeerUnreachable
@@ -20,10 +20,11 @@
     def __init__(self, *, method: str):
         super().__init__(method=method)
         self.body = bytearray()
+        self.n_body_bytes = 0
         self.has_extra_bytes = False
 
     def _on_message_begin(self) -> None:
-        if self.message_complete and self.get_code() >= 200:
+        if self.is_final:
             self.has_extra_bytes = True
             return
         super()._on_message_begin()
@@ -31,11 +32,17 @@
     def _on_body(self, buf: bytes) -> None:
         if not self.has_extra_bytes:
             self.body += buf
+            self.n_body_bytes += len(buf)
 
     def _flush_header(self) -> None:
         if not self.has_extra_bytes:
             super()._flush_header()
 
+    @property
+    def is_final(self) -> bool:
+        """Whether an answer other than an interim one is complete."""
+        return self.message_complete and self.get_code() >= 200
+
 
 class ServerAnswer:
     """An HTTP answer, read block by block.
@@ -67,6 +74,7 @@
         self.timed_out = False
         self.was_reset = False
         self.was_closed = False
+        self.n_bytes_without_body = 0
         self.timer = get_hub().loop.timer(max(deadline - self.last_read, 0.0))
         self.timer.start(self._on_timer)
 
@@ -103,11 +111,8 @@
         FailureError
             With `PeerUnreachable` when it is malformed, too long or incomplete.
         """
-        n_bytes = 0
         while not self.parser.headers_complete or self.status < 200:
-            n_bytes += self._read_block()
-            if n_bytes > MAX_HEADER_BYTES and not self.parser.headers_complete:
-                raise self._unreachable("header too long")
+            self._read_block()
 
     def blocks(self, *, idle_timeout_s: float) -> Iterator[bytes]:
         """Yield the blocks of the body as they arrive.
@@ -155,10 +160,11 @@
         return bytes(self.parser.body)
 
     def _read_block(self) -> int:
+        n_body_bytes = self.parser.n_body_bytes
         try:
             data = self.connection.receive(READ_BYTES)
             if data:
-                self.parser.feed(data)
+                self._parse(data)
         except OSError as error:
             self.was_reset = True
             raise self._unreachable(str(error)) from error
@@ -170,8 +176,26 @@
             detail = "timed out without data" if self.timed_out else "connection closed"
             raise self._unreachable(detail)
         self.last_read = self.clock.monotonic()
+        if self.parser.n_body_bytes == n_body_bytes:
+            self.n_bytes_without_body += len(data)
+        else:
+            self.n_bytes_without_body = 0
+        # Limits headers, interim answers, chunk extensions and trailers, none of which
+        # end by themselves.
+        is_complete = self.parser.is_final
+        if self.n_bytes_without_body > MAX_HEADER_BYTES and not is_complete:
+            raise self._unreachable(f"over {MAX_HEADER_BYTES} bytes without a body")
         return len(data)
 
+    def _parse(self, data: bytes) -> None:
+        try:
+            self.parser.feed(data)
+        except HTTPParseError:
+            if not self.parser.is_final:
+                raise
+            # Bytes after the end of an answer do not belong to it.
+            self.parser.has_extra_bytes = True
+
     def _start_idle_timeout(self, idle_timeout_s: float) -> None:
         self.idle_timeout_s = idle_timeout_s
         self._restart_timer()
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from turmericreel.decisions.windowed_budget import WindowedBudget
+from turmericreel.gateway.answer_buffer import AnswerBuffer
 from turmericreel.gateway.attempt_starter import AttemptStarter
 from turmericreel.gateway.attempts import (
     MIN_SERVER_ERROR_STATUS,
@@ -32,6 +33,8 @@
 from turmericreel.util.clock import Clock
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Of all incomplete answers; a gateway has 128 MB in total.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 EVENT_STREAM = "text/event-stream"
 # Another attempt is not worthwhile with less time left before the deadline.
 MIN_TIME_LEFT_S = 0.03
@@ -68,6 +71,7 @@
         self.starter = starter
         self.budget = budget
         self.clock = clock
+        self.buffer = AnswerBuffer(limit_bytes=MAX_BUFFERED_BYTES)
 
     def run(self, request: ClientRequest) -> Answer:
         """Return the answer to a request.
@@ -171,7 +175,7 @@
         self, request: ClientRequest, server_answer: ForwardedAnswer
     ) -> Answer:
         try:
-            body = server_answer.read_whole_body(MAX_BODY_BYTES)
+            body = server_answer.read_whole_body(MAX_BODY_BYTES, buffer=self.buffer)
         except FailureError as error:
             raise unknown_outcome_failure(request, error.failure.describe()) from error
         headers = server_answer.forwarded_headers()
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -4,6 +4,7 @@
 
 from turmericreel.entry.server_answer import ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection, ServerConnections
+from turmericreel.gateway.answer_buffer import AnswerBuffer
 from turmericreel.gateway.client_request import (
     ClientRequest,
     Headers,
@@ -81,19 +82,28 @@
         chunked = "chunked" in self.header("Transfer-Encoding").lower()
         return not (chunked or self.header("Content-Length"))
 
-    def read_whole_body(self, limit_bytes: int) -> bytes:
+    def read_whole_body(self, limit_bytes: int, *, buffer: AnswerBuffer) -> bytes:
         """Read the rest of the body and return the whole.
 
         Raises
         ------
         FailureError
-            With `PeerUnreachable` when it is incomplete or longer than `limit_bytes`.
+            With `PeerUnreachable` when it is incomplete, longer than `limit_bytes`, or
+            too long while the buffer is full.
         """
-        while not self.parser.message_complete:
-            self._read_block()
-            if len(self.parser.body) > limit_bytes:
-                raise self._unreachable(f"body over {limit_bytes} bytes")
-        return bytes(self.parser.body)
+        size = 0
+        try:
+            while not self.parser.message_complete:
+                self._read_block()
+                before, size = size, len(self.parser.body)
+                has_room = buffer.grow(before, size)
+                if size > limit_bytes:
+                    raise self._unreachable(f"body over {limit_bytes} bytes")
+                if not has_room:
+                    raise self._unreachable(f"buffer full at {size} bytes")
+            return bytes(self.parser.body)
+        finally:
+            buffer.release(size)
 
     def forwarded_headers(self) -> Headers:
         """Return the end-to-end headers, which are forwarded to the client."""
