Observe a switched version before a roll-out completes early

Callers of a booking service got answers that took eight times as long for good: its roll-out was completed 0.6 s after the switch.

Cause: short requests leave the old version idle at once, which completed the roll-out without an answer under the whole load. The canary had got 12 requests, 7 of them on a route that shows nothing.

Change: early completion needs 50 answers of the new version.

--- a/test/routing/test_rollouts.py
+++ b/test/routing/test_rollouts.py
@@ -303,3 +303,11 @@
         [OLD, *new], make_rollout(), avoided=everything, **canary
     )
     assert [s.server for s in last] == ["new-0"]
+
+
+def test_rollout_is_not_completed_early_before_the_new_version_served_enough():
+    idle = make_evidence("v1", n_sent=500)
+    few = make_evidence("v2", n_sent=30)
+    switched = RolloutStage.SWITCHED
+    assert judge(idle, few, stage=switched, now=7.0) is None
+    assert judge(idle, few, stage=switched, now=9.1) is RolloutStage.COMPLETED
--- a/turmericreel/decisions/rollout_judge.py
+++ b/turmericreel/decisions/rollout_judge.py
@@ -55,6 +55,9 @@
 COMPLETION_MARGIN_S = 1.0
 # Answers that the new version needs before it serves all requests.
 MIN_CANARY_ANSWERS = 5
+# Answers that it needs before the roll-out is completed early. A version of which a
+# part of the answers is slow shows it by then.
+MIN_COMPLETION_ANSWERS = 50
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -230,7 +233,8 @@
         is_due = is_late or (may_switch and not is_early)
         return RolloutStage.SWITCHED if is_due else None
     idle = seen_by_all and old[None].n_running == 0
-    if idle or now >= deadline - COMPLETION_MARGIN_S:
+    proved = new[None].n_ended >= MIN_COMPLETION_ANSWERS
+    if (idle and proved) or now >= deadline - COMPLETION_MARGIN_S:
         return RolloutStage.COMPLETED
     return None
 
