Release overdue copies whose server is still running

A content that nobody ended, of an instance that was lost, could be quarantined although no server had crashed.

The replicated state knows whether the server process is still registered.

The checks are the same.

Change: `ContentTable` asks the server table; a copy whose process is registered is released, others count as crashes as before.

--- a/test/decisions/test_contents.py
+++ b/test/decisions/test_contents.py
@@ -72,7 +72,7 @@
 
     def __init__(self):
         super().__init__()
-        self.table = ContentTable()
+        self.table = self.new_table()
         self.alive = [f"s{n}" for n in range(N_SERVERS)]
         self.running: dict[str, tuple[str, str]] = {}
         self.crashed_servers: set[str] = set()
@@ -81,6 +81,10 @@
         self.first_copy_crashes: Counter[str] = Counter()
         self.now_ms = 0
 
+    def new_table(self):
+        """Return an empty table that knows the servers that are still running."""
+        return ContentTable(is_registered=lambda server, _: server in self.alive)
+
     @rule(
         digest=st.sampled_from([POISON, POISON, *INNOCENT]),
         version=st.sampled_from(VERSIONS),
@@ -147,7 +151,7 @@
     def restart(self):
         """Restore the table from its snapshot."""
         dumped = msgspec.msgpack.decode(msgspec.msgpack.encode(self.table.dump()))
-        self.table = ContentTable()
+        self.table = self.new_table()
         self.table.load(dumped)
 
     @invariant()
@@ -232,3 +236,15 @@
         end(table, f"c{n}", f"c{n}/1", ContentEnd.PROVED, now_ms)
     assert len(table.contents) < 100
     assert POISON in table.contents
+
+
+def test_copy_whose_server_outlives_its_deadline_is_no_crash():
+    table = ContentTable(is_registered=lambda server, incarnation: server != "s3")
+    admit(table, "slow", "r/1", server="s1")
+    admit(table, "slow", "r/2", server="s2")
+    admit(table, POISON, "r/3", server="s3")
+    admit(table, POISON, "r/4", server="s4")
+    slow = admit(table, "slow", "r/5", server="s5", now_ms=COPY_DEADLINE_MS)
+    admit(table, POISON, "r/6", server="s6", now_ms=COPY_DEADLINE_MS)
+    assert isinstance(slow, ContentAdmitted)
+    assert table.contents[POISON].n_crashes == 1
--- a/turmericreel/state/machine.py
+++ b/turmericreel/state/machine.py
@@ -33,7 +33,7 @@
         self.sessions = SessionTable()
         self.claims = ClaimTable()
         self.ledger = LedgerTable()
-        self.contents = ContentTable()
+        self.contents = ContentTable(is_registered=self.servers.is_registered)
         self.health = HealthTable()
         self.service_levels = ServiceLevelTable()
         self.orders = OrderTable()
--- a/turmericreel/state/tables/contents.py
+++ b/turmericreel/state/tables/contents.py
@@ -9,6 +9,7 @@
 crash can be attributed to one content.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -99,6 +100,12 @@
 class ContentTable(Table):
     """Limits how many servers one content can crash.
 
+    Parameters
+    ----------
+    is_registered : callable
+        Returns whether a server process is registered.  It must depend on the
+        replicated state only.
+
     Attributes
     ----------
     contents : dict of ContentDigest to Content
@@ -109,7 +116,14 @@
 
     commands = (AdmitContent, EndContent)
 
-    def __init__(self):
+    def __init__(
+        self,
+        *,
+        is_registered: Callable[[BackendServerId, Incarnation], bool] = (
+            lambda server, incarnation: False
+        ),
+    ):
+        self.is_registered = is_registered
         self.contents: dict[ContentDigest, Content] = {}
         self.suspects: dict[BackendServerId, set[str]] = {}
 
@@ -196,12 +210,13 @@
         content.proven.add(copy.version)
 
     def _end_overdue(self, content: Content, now_ms: int) -> None:
-        # The instance that dispatched the copy is lost, so nothing shows that the
-        # server survived; the copy counts as a crash.
+        # The instance that dispatched the copy is lost.  A server that ended under it
+        # has expired or registered again as another process by now.
         overdue = [n for n, c in content.copies.items() if c.deadline_ms <= now_ms]
         for name in overdue:
             copy = self._drop_copy(content, name)
-            self._record_crash(content, copy, now_ms)
+            if not self.is_registered(copy.server, copy.incarnation):
+                self._record_crash(content, copy, now_ms)
         if overdue:
             content.expires_ms = max(content.expires_ms, now_ms + MAX_QUARANTINE_MS)
 
--- a/turmericreel/state/tables/servers.py
+++ b/turmericreel/state/tables/servers.py
@@ -128,6 +128,13 @@
                 self.feed.forget(key)
                 return
 
+    def is_registered(self, server: BackendServerId, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation of a server is present."""
+        known = self.servers.get(server)
+        if known is None:
+            return False
+        return known.present and known.server.incarnation == incarnation
+
     def highest_incarnation(self, server: BackendServerId) -> Incarnation:
         """Return the newest known incarnation of a server; 0 if none."""
         known = self.servers.get(server)
