Compare the waits of services without streams more strictly

Callers of a booking service got slow answers for good when a third of them was slow and the service has few requests.

Cause: the prior assumed that a tenth of the old version's waits is slow, and the tolerance for empty prefix caches applied to services that have none.

--- a/test/routing/test_rollouts.py
+++ b/test/routing/test_rollouts.py
@@ -9,7 +9,8 @@
     make_rollout,
     make_server,
 )
-from turmericreel.decisions.rollout_judge import ExposureLimit, judge_rollout
+from turmericreel.decisions.exposure_limit import ExposureLimit
+from turmericreel.decisions.rollout_judge import judge_rollout
 from turmericreel.decisions.version_split import (
     CANARY_SHARE,
     is_canary,
@@ -311,3 +312,47 @@
     switched = RolloutStage.SWITCHED
     assert judge(idle, few, stage=switched, now=7.0) is None
     assert judge(idle, few, stage=switched, now=9.1) is RolloutStage.COMPLETED
+
+
+def test_version_that_is_slow_for_a_third_of_few_requests_is_rolled_back():
+    old = with_waits(
+        make_evidence("v1", n_sent=130), first=make_waits(n_fast=127, n_slow=3)
+    )
+    new = with_waits(
+        make_evidence("v2", n_sent=14), first=make_waits(n_fast=9, n_slow=5)
+    )
+    assert judge(old, new) is RolloutStage.ROLLED_BACK
+
+
+def test_empty_caches_after_the_switch_are_no_slowness():
+    old = with_waits(
+        make_evidence("v1", n_sent=270, n_running=1),
+        first=make_waits(n_fast=250, n_slow=20),
+        events=OLD_WAITS,
+    )
+    cold = make_waits(n_fast=47, n_slow=16, slow_ms=400.0)
+    new = with_waits(make_evidence("v2", n_sent=63), first=cold, events=OLD_WAITS)
+    assert judge(old, new, stage=RolloutStage.SWITCHED, now=8.5) is None
+
+
+def test_plain_version_that_is_slow_for_few_is_rolled_back_before_completion():
+    evidence = []
+    for route, n_new_slow in (("a", 3), ("b", 2), ("c", 1)):
+        old = make_evidence("v1", n_sent=100, route=route)
+        new = make_evidence("v2", n_sent=12, route=route)
+        slow = make_waits(n_fast=12 - n_new_slow, n_slow=n_new_slow, slow_ms=340.0)
+        evidence += [with_waits(old, first=OLD_WAITS), with_waits(new, first=slow)]
+    assert judge(*evidence, stage=RolloutStage.SWITCHED, now=9.1) is (
+        RolloutStage.ROLLED_BACK
+    )
+
+
+def test_request_that_fails_at_every_server_counts_once():
+    counter = EvidenceCounter()
+    for after_failure in (False, True, True):
+        attempt = counter.begin(
+            make_server("s1"), ROUTE, now=0.0, after_failure=after_failure
+        )
+        attempt.record_end(failed=True, ran=True, now=1.0)
+    (evidence,) = counter.for_services({SERVICE}, now=2.0)
+    assert (evidence.n_sent, evidence.n_failed) == (1, 1)
--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -17,7 +17,7 @@
 from turmericreel.coordinator.rollout_task import RolloutTask
 from turmericreel.coordinator.sessions import PeerSession, SessionListener
 from turmericreel.coordinator.usage_task import UsageTask
-from turmericreel.decisions.rollout_judge import ExposureLimit
+from turmericreel.decisions.exposure_limit import ExposureLimit
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.check_routing import check_routing
 from turmericreel.model.failures import (
--- a/turmericreel/coordinator/rollout_task.py
+++ b/turmericreel/coordinator/rollout_task.py
@@ -7,11 +7,8 @@
 
 from turmericreel.coordination.replicated_log import ReplicatedLog
 from turmericreel.coordinator.hub import Hub
-from turmericreel.decisions.rollout_judge import (
-    ExposureLimit,
-    describe_evidence,
-    judge_rollout,
-)
+from turmericreel.decisions.exposure_limit import ExposureLimit
+from turmericreel.decisions.rollout_judge import describe_evidence, judge_rollout
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import ServiceName
 from turmericreel.model.routing import Rollout, RolloutStage, RolloutState
