Count a request that fails at every server once

A good version was rolled back because two requests failed, as some do at the old version.

Cause: the evidence counted attempts. Some requests fail at each server, so their retries are no independent trials: two requests gave four failures.

Change: attempts after a failure of the same request do not count.

--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -103,7 +103,9 @@
             clock=self.clock,
             deadline=request.deadline,
         )
-        counter = self.evidence.begin(server, request.route.name, now=now)
+        counter = self.evidence.begin(
+            server, request.route.name, now=now, after_failure=progress.has_failed
+        )
         attempt = Attempt(
             exchange=exchange,
             counter=counter,
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -60,6 +60,8 @@
         stream.
     may_have_run : bool
         Whether a server may have run the request.
+    has_failed : bool
+        Whether an attempt that may have run failed.
     fallback : Answer or None
         Error response of a server, returned if no other attempt succeeds.
     """
@@ -68,6 +70,7 @@
     n_sent: int = 0
     n_unreached: int = 0
     may_have_run: bool = False
+    has_failed: bool = False
     fallback: Answer | None = None
 
     def count_failure(self, failure: Failure) -> None:
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -26,7 +26,7 @@
 from turmericreel.gateway.metrics import AttemptOutcome
 from turmericreel.gateway.server_chooser import ServerChooser, is_no_server_failure
 from turmericreel.gateway.server_exchange import ForwardedAnswer
-from turmericreel.model.failures import FailureError
+from turmericreel.model.failures import FailureError, NotRun
 from turmericreel.model.ids import ServiceName
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import RouteKind
@@ -104,6 +104,7 @@
             ):
                 return answer
             progress.fallback = answer
+            progress.has_failed = True
 
     def _attempt(
         self,
@@ -302,6 +303,7 @@
             left_ms=int((request.deadline - now) * 1_000),
             failure=error.failure.describe(),
         )
+        progress.has_failed |= not isinstance(error.failure, NotRun)
         if not progress.tried or is_no_server_failure(error.failure):
             return False
         if is_quarantine_failure(error.failure):
--- a/turmericreel/gateway/evidence.py
+++ b/turmericreel/gateway/evidence.py
@@ -56,17 +56,20 @@
     counts : AttemptCounts
     began : float
         Seconds on the monotonic clock.
+    is_counted : bool
+        Whether the attempt counts as sent, and as failed if it fails.
     """
 
-    def __init__(self, *, counts: AttemptCounts, began: float):
+    def __init__(self, *, counts: AttemptCounts, began: float, is_counted: bool):
         self.counts = counts
         self.began = began
+        self.is_counted = is_counted
         self.is_open = True
         self.has_answer = False
         self.n_events = 0
         self.block_began = began
         self.last_event_at = began
-        counts.n_sent += 1
+        counts.n_sent += is_counted
         counts.running.add(self)
 
     def record_events(self, n_events: int, *, now: float) -> None:
@@ -96,7 +99,7 @@
             return
         self.is_open = False
         self.counts.running.discard(self)
-        self.counts.n_failed += failed
+        self.counts.n_failed += failed and self.is_counted
         if not ran:
             return
         if not self.has_answer:
@@ -124,12 +127,21 @@
         self.counts: dict[CountsKey, AttemptCounts] = {}
 
     def begin(
-        self, server: RegisteredServer, route: RouteName, *, now: float
+        self,
+        server: RegisteredServer,
+        route: RouteName,
+        *,
+        now: float,
+        after_failure: bool = False,
     ) -> AttemptCounter:
-        """Count the start of an attempt."""
+        """Count the start of an attempt.
+
+        Attempts after a failure of the same request are not counted, because some
+        requests fail at every server.
+        """
         key = (server.service, server.version, route)
         counts = self.counts.setdefault(key, AttemptCounts())
-        return AttemptCounter(counts=counts, began=now)
+        return AttemptCounter(counts=counts, began=now, is_counted=not after_failure)
 
     def for_services(
         self, services: set[ServiceName], *, now: float
