Let the soak end servers by requests, send without an end, and lose the core

Cause: neither tests nor the soak had requests that end their servers, bytes without an end, or the loss of all coordinators at once.

Change: a tenth of the soak's requests ends its server, which restarts as another process; servers send without an end; all coordinators are paused or killed together. Checked: once three servers ended under one request, at most three more do so later than three seconds afterwards, the rule's own bound.

--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -53,7 +53,7 @@
 
 
 def count_ends(system) -> int:
-    return sum(server.n_ends for server in system.servers.values())
+    return sum(len(server.ends) for server in system.servers.values())
 
 
 @pytest.mark.parametrize("kind", ["safe", "unsafe", "stream"])
--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -32,7 +32,9 @@
     Caller,
     Client,
     Findings,
+    POISON,
     Operator,
+    check_ends,
     check_runs,
     send_heartbeat,
 )
@@ -56,6 +58,7 @@
     Misbehaviour.FAIL,
     Misbehaviour.CUT_BEFORE,
     Misbehaviour.CUT_WITHIN,
+    Misbehaviour.ENDLESS,
 )
 
 
@@ -112,6 +115,8 @@
         for process in processes:
             process.start()
         for server in self.servers:
+            server.fatal_bodies.add(POISON)
+            server.restart_delay_s = self.rng.uniform(0.2, 1.5)
             server.start()
             proxy = LoopbackProxy(target=server.address)
             proxy.start()
@@ -126,6 +131,7 @@
                 spawn(self._inject_link_faults),
             ]
             tasks += [spawn(self._restart_ended_processes)]
+            tasks += [spawn(self._lose_core)]
             deadline = monotonic() + duration_s
             joinall([spawn(self._inject_process_faults, deadline) for _ in range(2)])
             self.clients_running = False
@@ -133,6 +139,7 @@
             self.running = False
             joinall(tasks)
             check_runs(self.servers, self.findings)
+            check_ends(self.servers, self.findings)
         finally:
             self.running = False
             for process in processes:
@@ -190,13 +197,15 @@
         for sequence in count(1):
             if not self.running:
                 break
-            send_heartbeat(
-                caller,
-                self.servers[number].server,
-                address=self.proxies[number].address,
-                sequence=sequence,
-                coordinators=self.rng.sample(self.control, len(self.control)),
-            )
+            server = self.servers[number]
+            if not server.is_down:
+                send_heartbeat(
+                    caller,
+                    server,
+                    address=self.proxies[number].address,
+                    sequence=sequence,
+                    coordinators=self.rng.sample(self.control, len(self.control)),
+                )
             sleep(HEARTBEAT_S)
         caller.close()
 
@@ -243,6 +252,22 @@
                     process.start()
             sleep(RESTART_CHECK_INTERVAL_S)
 
+    def _lose_core(self) -> None:
+        """Pause all coordinators at the same time, or kill them."""
+        while self.clients_running:
+            sleep(self.rng.uniform(4.0, 8.0))
+            free = [
+                c for c in self.coordinators if c.is_running and not c.is_under_fault
+            ]
+            if not self.clients_running:
+                break
+            fault = self.rng.choice((self._kill, self._pause))
+            for process in free:
+                process.is_under_fault = True
+            joinall([spawn(fault, process) for process in free])
+            for process in free:
+                process.is_under_fault = False
+
     def _kill(self, process: PlatformProcess) -> None:
         process.kill()
         sleep(self.rng.uniform(0.0, 1.5))
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -2,10 +2,11 @@
 
 An unsafe request runs at most once, and not at all if it was refused; streams are in
 order and complete; after a configuration was accepted, no older one is read back; a
-valid configuration is never refused.
+valid configuration is never refused; a request that ends its servers reaches hardly any
+once three have ended.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from itertools import count
@@ -26,6 +27,14 @@
 REFUSAL_STATUSES = (408, 421, 429, 503)
 NETWORK_ERRORS = (OSError, HTTPParseError)
 REQUEST_KINDS = ("safe", "unsafe", "stream")
+# Body of requests that end each server that runs them.
+POISON = b"poison"
+POISON_FRACTION = 0.1
+# Servers that one request may end, the time after the last of them in which all
+# gateways learn of it, and servers that it may end later.
+MAX_ENDS = 3
+LEARNING_TIME_S = 3.0
+MAX_LATE_ENDS = 3
 
 
 @dataclass(kw_only=True)
@@ -176,11 +185,22 @@
     def send_next(self) -> None:
         """Send one request of a random kind and count its outcome."""
         kind = self.rng.choice(REQUEST_KINDS)
-        self.findings.outcomes[f"{kind} {self.request(kind)}"] += 1
+        if self.rng.random() < POISON_FRACTION:
+            outcome = f"poison {self._send_poison(kind)}"
+        else:
+            outcome = f"{kind} {self.request(kind)}"
+        self.findings.outcomes[outcome] += 1
 
     def request(self, kind: str) -> str:
         """Send one request and return its status, or ``"no answer"``."""
         attempt_id = f"{kind}-{next(self.numbers)}"
+        return self._send(kind, attempt_id, f"/{kind}/{attempt_id}", b"x")
+
+    def _send_poison(self, kind: str) -> str:
+        attempt_id = f"{kind}-{next(self.numbers)}"
+        return self._send(kind, attempt_id, f"/{kind}/poison", POISON)
+
+    def _send(self, kind: str, attempt_id: str, path: str, body: bytes) -> str:
         headers = {
             "Host": "example",
             PLATFORM_HEADERS.attempt_id: attempt_id,
@@ -188,11 +208,10 @@
         }
         if kind == "stream":
             headers["Accept"] = "text/event-stream"
-        path = f"/{kind}/{attempt_id}"
         address = self.rng.choice(self.addresses)
         try:
             status, body = self.caller.call(
-                address, "POST", path, body=b"x", headers=headers
+                address, "POST", path, body=body, headers=headers
             )
         except NETWORK_ERRORS:
             return "no answer"
@@ -221,9 +240,26 @@
             findings.faults.append(f"{attempt_id} ran, although it was refused")
 
 
+def check_ends(servers: Sequence[RoutedServer], findings: Findings) -> None:
+    """Check that requests that end servers are not sent on."""
+    ends: dict[str, list[float]] = defaultdict(list)
+    for server in servers:
+        for end in server.ends:
+            ends[end.path].append(end.at)
+    for path, times in ends.items():
+        findings.outcomes["ended servers"] += len(times)
+        times.sort()
+        known_at = [at + LEARNING_TIME_S for at in times[MAX_ENDS - 1 : MAX_ENDS]]
+        n_late = sum(at > known for at in times for known in known_at)
+        if n_late > MAX_LATE_ENDS:
+            findings.faults.append(
+                f"{path} ended {len(times)} servers, {n_late} of them late"
+            )
+
+
 def send_heartbeat(
     caller: Caller,
-    server: str,
+    server: RoutedServer,
     *,
     address: str,
     sequence: int,
@@ -238,11 +274,12 @@
         "Slots": 8,
         "State": "ready",
         "Sequence": sequence,
+        "born": server.born_ms,
     }
     body = msgspec.json.encode(heartbeat)
     for coordinator in coordinators:
         try:
-            path = f"/-/instances/{server}"
+            path = f"/-/instances/{server.server}"
             if caller.call(coordinator, "PUT", path, body=body)[0] == 200:
                 return
         except NETWORK_ERRORS:
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -8,15 +8,18 @@
 import errno
 from collections import deque
 from collections.abc import Iterator
+from dataclasses import dataclass
 from enum import Enum
+from itertools import cycle
 from math import inf
 from socket import SHUT_RDWR
-from time import monotonic
+from time import monotonic, time_ns
 
 from gevent import Greenlet, sleep, spawn_later
 
 from turmericreel.entry.application import SOCKET_KEY
 from turmericreel.entry.http_server import BoundedServer
+from turmericreel.fakes.endless_server import EndlessPart
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.model.settings import LimitsSettings
 from turmericreel.protocols.addresses import Address, parse_address
@@ -36,6 +39,32 @@
     CUT_WITHIN = "cut_within"
     SILENT = "silent"
     SILENT_WITHIN = "silent_within"
+    ENDLESS = "endless"
+
+
+# Parts of a plain answer that is never complete.
+ENDLESS_PARTS = (
+    EndlessPart.HEADER_LINES,
+    EndlessPart.INTERIM_ANSWERS,
+    EndlessPart.BODY_WITH_LENGTH,
+    EndlessPart.BODY_WITHOUT_LENGTH,
+    EndlessPart.CHUNKS,
+    EndlessPart.TRAILERS,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerEnd:
+    """A request that ended a server.
+
+    Attributes
+    ----------
+    at : float
+        Seconds on the monotonic clock.
+    """
+
+    path: str
+    at: float
 
 
 class RoutedServer:
@@ -67,8 +96,12 @@
         Bodies of requests that end the server: a plain request as it begins to run, a
         stream before its third event. All connections break, and the server listens
         again after `restart_delay_s`.
-    n_ends : int
-        Number of times that a request ended the server.
+    ends : list of ServerEnd
+        Requests that ended the server.
+    born_ms : int
+        Unix time of the last start in milliseconds.
+    is_down : bool
+        Whether the server has ended and not yet started again.
     """
 
     def __init__(
@@ -92,7 +125,10 @@
         self.idle_timeout_s = inf
         self.last_used_by_port: dict[str, float] = {}
         self.fatal_bodies: set[bytes] = set()
-        self.n_ends = 0
+        self.ends: list[ServerEnd] = []
+        self.born_ms = time_ns() // 1_000_000
+        self.is_down = False
+        self.endless_parts = cycle(ENDLESS_PARTS)
         self.restart_delay_s = 0.2
         self.connections: set = set()
         self.restart: Greenlet | None = None
@@ -118,14 +154,15 @@
             address=address, application=self._answer, limits=LimitsSettings()
         )
 
-    def _end(self) -> None:
+    def _end(self, path: str) -> None:
         """Break all connections, listen again later, and break this request.
 
         Raises
         ------
         BrokenPipeError
         """
-        self.n_ends += 1
+        self.ends.append(ServerEnd(path=path, at=monotonic()))
+        self.is_down = True
         address = parse_address(self.address)
         self.http.stop(timeout=0)
         connections, self.connections = self.connections, set()
@@ -140,6 +177,8 @@
             self.http = self._listener(address)
             try:
                 self.http.start()
+                self.born_ms = time_ns() // 1_000_000
+                self.is_down = False
                 return
             except OSError:
                 # An outgoing connection may use the port for a moment.
@@ -163,7 +202,9 @@
         is_stream = environ.get("HTTP_ACCEPT") == EVENT_STREAM
         is_fatal = body in self.fatal_bodies
         if is_fatal and not is_stream:
-            self._end()
+            self._end(path)
+        if fault is Misbehaviour.ENDLESS:
+            self._send_without_end(environ[SOCKET_KEY])
         if fault is Misbehaviour.CUT_BEFORE:
             raise BrokenPipeError(errno.EPIPE, "connection broken on purpose")
         if fault is Misbehaviour.SILENT:
@@ -175,10 +216,24 @@
             headers += [("Content-Type", EVENT_STREAM)]
             headers.append((self.names.confidence, self.confidence))
             start_response("200 OK", headers)
-            return self._events(int(last_event or 0), fault, is_fatal)
+            return self._events(
+                int(last_event or 0), fault, fatal_path=path if is_fatal else None
+            )
         start_response("200 OK", headers)
         return [b"answer of ", self.server.encode()]
 
+    def _send_without_end(self, sock) -> None:
+        """Send bytes until the client closes the connection.
+
+        Raises
+        ------
+        OSError
+        """
+        part = next(self.endless_parts)
+        sock.sendall(part.start)
+        while True:
+            sock.sendall(part.block)
+
     def _break_if_timed_out(self, port: str) -> None:
         """Break the connection if it was idle for longer than `idle_timeout_s`.
 
@@ -192,12 +247,12 @@
             raise BrokenPipeError(errno.EPIPE, "connection timed out on purpose")
 
     def _events(
-        self, after: int, fault: Misbehaviour | None, is_fatal: bool
+        self, after: int, fault: Misbehaviour | None, *, fatal_path: str | None
     ) -> Iterator[bytes]:
         try:
             for number in range(after + 1, self.n_events + 1):
-                if is_fatal and number == 3:
-                    self._end()
+                if fatal_path is not None and number == 3:
+                    self._end(fatal_path)
                 if fault is Misbehaviour.CUT_WITHIN and number == 3:
                     yield b"id: 3\nda"
                     raise BrokenPipeError(errno.EPIPE, "connection broken on purpose")
