Count the last events of a stream once as evidence

Cause: the rest of a stream counted as a finished wait and as a given up one. No caller saw it; a read of the change found it.

Change: it counts as finished if it has two events or more, else as given up.

Result: the test failed before (one unfinished wait too many).

--- a/test/routing/test_rollouts.py
+++ b/test/routing/test_rollouts.py
@@ -356,3 +356,14 @@
         attempt.record_end(failed=True, ran=True, now=1.0)
     (evidence,) = counter.for_services({SERVICE}, now=2.0)
     assert (evidence.n_sent, evidence.n_failed) == (1, 1)
+
+
+def test_end_of_a_stream_counts_its_last_events_once():
+    counter = EvidenceCounter()
+    stream = counter.begin(make_server("s1"), ROUTE, now=0.0)
+    for n in range(EVENTS_PER_WAIT - 1):
+        stream.record_events(1, now=0.1 * (n + 1))
+    stream.record_end(failed=False, ran=True, now=0.1 * EVENTS_PER_WAIT)
+    (evidence,) = counter.for_services({SERVICE}, now=9.0)
+    assert evidence.event_waits.n_finished == 1
+    assert evidence.event_waits.unfinished == {}
--- a/turmericreel/gateway/evidence.py
+++ b/turmericreel/gateway/evidence.py
@@ -105,9 +105,10 @@
         if not self.has_answer:
             self.counts.first_given_up[bucket_of(now - self.began)] += 1
             return
-        self.counts.event_given_up[self.unfinished_event_wait(now)] += 1
         if self.n_events >= MIN_EVENTS_PER_WAIT:
             self._finish_block()
+        else:
+            self.counts.event_given_up[self.unfinished_event_wait(now)] += 1
 
     def unfinished_event_wait(self, now: float) -> int:
         """Return the bucket of the least mean wait that the current block can have."""
