--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -161,6 +161,8 @@
         ------
         BrokenPipeError
         """
+        if self.is_down:
+            raise BrokenPipeError(errno.EPIPE, "server has ended")
         self.ends.append(ServerEnd(path=path, at=monotonic()))
         self.is_down = True
         address = parse_address(self.address)
@@ -227,12 +229,15 @@
 
         Raises
         ------
-        OSError
+        BrokenPipeError
         """
         part = next(self.endless_parts)
-        sock.sendall(part.start)
-        while True:
-            sock.sendall(part.block)
+        try:
+            sock.sendall(part.start)
+            while True:
+                sock.sendall(part.block)
+        except OSError as error:
+            raise BrokenPipeError(errno.EPIPE, "client closed") from error
 
     def _break_if_timed_out(self, port: str) -> None:
         """Break the connection if it was idle for longer than `idle_timeout_s`.
