Do not roll a good version back for its empty caches

Cause: the canary's servers were so few that single long prompts delayed the others there, and the first events of streams count as slow too early while prefix caches are empty.

Change: the canary uses all new servers again; the exposure limit alone bounds faults that show under load. First events of streams are slow from five times the median, for a third of the requests.

--- a/turmericreel/decisions/version_slowness.py
+++ b/turmericreel/decisions/version_slowness.py
@@ -56,13 +56,12 @@
 
 # Whole answers of services that do not stream.
 PLAIN_LIMIT = SlownessLimit(factor=3.0, min_median_s=0.05, min_fraction=0.1)
-# A canary has at most the load of the version that it is compared with, but its prefix
-# caches are empty at first, which delays the first event.
-CANARY_FIRST_LIMIT = SlownessLimit(factor=3.0, min_median_s=0.05, min_fraction=0.2)
+# Prefix caches of a new version are empty, so the first event of a good one may take
+# long for a part of the requests.
+FIRST_LIMIT = SlownessLimit(factor=5.0, min_median_s=0.05, min_fraction=0.35)
+# A canary has less load than the version that it is compared with; after the switch the
+# load may be higher.
 CANARY_EVENT_LIMIT = SlownessLimit(factor=2.0, min_median_s=0.02, min_fraction=0.2)
-# Right after the switch all prompts meet empty caches, and the load may be higher than
-# it was at the old version.
-FIRST_LIMIT = SlownessLimit(factor=5.0, min_median_s=0.05, min_fraction=0.2)
 EVENT_LIMIT = SlownessLimit(factor=3.0, min_median_s=0.02, min_fraction=0.2)
 
 
--- a/turmericreel/decisions/version_split.py
+++ b/turmericreel/decisions/version_split.py
@@ -5,12 +5,10 @@
 session stays on one version at whichever gateway its requests arrive.
 """
 
-from collections.abc import Iterable, Set
-from math import ceil
+from collections.abc import Iterable
 
 import xxhash
 
-from turmericreel.model.ids import BackendServerId
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout, RolloutStage
 
@@ -36,7 +34,6 @@
     *,
     hashed: int,
     is_bound: bool,
-    avoided: Set[BackendServerId] = frozenset(),
 ) -> list[RegisteredServer]:
     """Return the servers whose version the request may run on.
 
@@ -51,8 +48,6 @@
     is_bound : bool
         Whether the session recently ran on the old version, and therefore stays there
         while the new version is unproven.
-    avoided : set of BackendServerId
-        Servers that the request should not use, which may be chosen nevertheless.
     """
     servers = list(servers)
     if rollout is None:
@@ -66,19 +61,4 @@
             return new
         case RolloutStage.SWITCHED:
             return new or old
-    if is_canary(hashed) and not is_bound and new:
-        return _canary_servers(new, avoided)
-    return old
-
-
-def _canary_servers(
-    new: list[RegisteredServer], avoided: Set[BackendServerId]
-) -> list[RegisteredServer]:
-    """Return the servers that serve the canary share.
-
-    They are so few that each has about the load of the whole roll-out, because some
-    faults of a version only show under load.
-    """
-    n_servers = ceil(CANARY_SHARE * len(new))
-    available = [s for s in new if s.server not in avoided] or new
-    return sorted(available, key=lambda s: s.server)[:n_servers]
+    return new if is_canary(hashed) and not is_bound and new else old
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -93,7 +93,7 @@
         if not tried:
             self._wait_for_servers(request, service)
         now = self.clock.monotonic()
-        allowed = self._allowed_servers(request, service, now, tried)
+        allowed = self._allowed_servers(request, service, now)
         untried = [s for s in allowed if s.server not in tried]
         healthy = [s for s in untried if not self.loads.is_paused(s.server, now=now)]
         servers = healthy or untried
@@ -155,26 +155,20 @@
         limit_s = request.route.latency_target_ms / 1_000 * SERVER_WAIT_FRACTION
         limit_s = min(limit_s, (request.deadline - now) * SERVER_WAIT_FRACTION)
         self.view.wait_until(
-            lambda: bool(self._allowed_servers(request, service, now, set())),
+            lambda: bool(self._allowed_servers(request, service, now)),
             timeout_s=limit_s,
         )
 
     def _allowed_servers(
-        self,
-        request: ClientRequest,
-        service: ServiceName,
-        now: float,
-        tried: set[BackendServerId],
+        self, request: ClientRequest, service: ServiceName, now: float
     ) -> list[RegisteredServer]:
-        servers = self.view.servers_of(service)
         rollout = self.view.rollouts.get(service)
         hashed = session_hash(request.session or request.attempt_id)
         is_bound = self.sessions.is_recent(service, hashed, now=now)
         if rollout is not None:
             is_bound = is_bound or hashed in rollout.bound_sessions
-        paused = {s.server for s in servers if self.loads.is_paused(s.server, now=now)}
         return servers_for_rollout(
-            servers, rollout, hashed=hashed, is_bound=is_bound, avoided=tried | paused
+            self.view.servers_of(service), rollout, hashed=hashed, is_bound=is_bound
         )
 
 
