--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -248,9 +248,10 @@
             ends[end.path].append(end.at)
     for path, times in ends.items():
         findings.outcomes["ended servers"] += len(times)
-        times.sort()
-        known_at = [at + LEARNING_TIME_S for at in times[MAX_ENDS - 1 : MAX_ENDS]]
-        n_late = sum(at > known for at in times for known in known_at)
+        if len(times) < MAX_ENDS:
+            continue
+        known_at = sorted(times)[MAX_ENDS - 1] + LEARNING_TIME_S
+        n_late = sum(at > known_at for at in times)
         if n_late > MAX_LATE_ENDS:
             findings.faults.append(
                 f"{path} ended {len(times)} servers, {n_late} of them late"
