--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -4,9 +4,9 @@
 connections to servers are delayed, reset and silenced in one or both directions, and
 servers refuse, fail and break off answers, send without an end, and end under some
 requests.  All coordinators are lost together at times.  The faults overlap, while
-clients, operators and servers continue over persistent connections.  The invariants are in
-`soak_traffic`; in addition, requests must succeed again within `MAX_RECOVERY_S` of the
-last fault.
+clients, operators and servers continue over persistent connections.  The invariants
+are in `soak_traffic`; in addition, requests must succeed again within `MAX_RECOVERY_S`
+of the last fault.
 
     python -m test_long.routing_soak --seed 7 --duration 60
 """
