Log why the end of a server no longer counts against a request

A crash that was refuted or expired left no line, so that a request that is sent again could not be traced to the event that cleared it. Gateways and coordinators now log each refutation with its evidence (the answer's status, the heartbeat's sequence, the report of another instance) and the record's age.

--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -17,7 +17,12 @@
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.ids import BackendServerId, InstanceId
 from turmericreel.model.registered_server import RegisteredServer
-from turmericreel.model.server_crash import ServerCrash, ServerProcess, process_of
+from turmericreel.model.server_crash import (
+    CrashRefutation,
+    ServerCrash,
+    ServerProcess,
+    process_of,
+)
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
 from turmericreel.protocols.routing_messages import (
@@ -131,10 +136,24 @@
         else:
             self.unchanged_heartbeats[reported.server] = reported
         if self.registry.servers.get(reported.server) is reported:
-            process = process_of(reported)
-            self._publish_crashes(
-                self.quarantine.record_heartbeat(process, now=self.now())
+            self._refute_crashes(reported)
+
+    def _refute_crashes(self, reported: RegisteredServer) -> None:
+        """Refute the crashes of a server that reported later."""
+        process = process_of(reported)
+        refuted = self.quarantine.record_heartbeat(process, now=self.now())
+        now_ms = self.clock.wall_ms()
+        for crash in refuted:
+            log_message(
+                "coordinator:crash_refuted",
+                content=crash.content,
+                server=process.server,
+                incarnation=process.incarnation,
+                refutation=CrashRefutation.HEARTBEAT.value,
+                sequence=reported.sequence,
+                age_ms=crash.age_ms(now_ms=now_ms),
             )
+        self._publish_crashes(refuted)
 
     def receive_crashes(self, crashes: Iterable[ServerCrash]) -> None:
         """Merge the records of a gateway, and pass on what is new."""
--- a/turmericreel/decisions/content_quarantine.py
+++ b/turmericreel/decisions/content_quarantine.py
@@ -19,10 +19,14 @@
 import xxhash
 
 from turmericreel.model.ids import ContentDigest, InstanceId
-from turmericreel.model.server_crash import ServerCrash, ServerProcess, is_part
+from turmericreel.model.server_crash import (
+    CRASH_RETENTION_MS,
+    ServerCrash,
+    ServerProcess,
+    is_part,
+)
 
 MAX_CRASHES = 3
-CRASH_RETENTION_MS = 600_000
 # Heartbeats that were sent before the crash may still arrive after it.
 HEARTBEAT_DELAY_S = 3.0
 # Crashes that are older than this were not refuted by any heartbeat.
@@ -148,11 +152,16 @@
         """Return all records, including refuted ones."""
         return tuple(c for known in self.crashes.values() for c in known.values())
 
-    def drop_expired(self, *, now_ms: int) -> None:
-        """Drop the contents of which all records have expired."""
-        for content, known in list(self.crashes.items()):
-            if all(crash.expires_ms <= now_ms for crash in known.values()):
-                self._drop(content)
+    def drop_expired(self, *, now_ms: int) -> list[ContentDigest]:
+        """Drop and return the contents of which all records have expired."""
+        expired = [
+            content
+            for content, known in self.crashes.items()
+            if all(crash.expires_ms <= now_ms for crash in known.values())
+        ]
+        for content in expired:
+            self._drop(content)
+        return expired
 
     def _merge_one(self, crash: ServerCrash, now: float, now_ms: int) -> bool:
         if crash.expires_ms <= now_ms:
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -197,7 +197,9 @@
             self._record_answered_parts()
         match how:
             case AttemptEnd.ANSWERED | AttemptEnd.FAILED:
-                self.guard.record_completion(content)
+                self.guard.record_completion(
+                    content, status=self.exchange.answer.status
+                )
             case AttemptEnd.BROKEN if self.exchange.connection_lost:
                 self._log_connection_lost()
                 self.guard.record_lost_connection(content, self.server, parts)
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -22,6 +22,7 @@
 from turmericreel.model.ids import ContentDigest
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.server_crash import (
+    CrashRefutation,
     ServerCrash,
     ServerProcess,
     is_part,
@@ -35,6 +36,7 @@
 MAX_UNRESOLVED_PER_SERVER = 256
 # A copy that is running may prove the content sound soon.
 BUSY_RETRY_AFTER_MS = 250
+OK_STATUS = 200
 
 
 class CrashGuard:
@@ -130,17 +132,19 @@
         """Return the number of contents that are refused."""
         return self.quarantine.n_quarantined(now_ms=self.clock.wall_ms())
 
-    def record_completion(self, content: ContentDigest) -> None:
-        """Record that an attempt got a complete answer."""
-        self._report(self.quarantine.record_completion(content))
+    def record_completion(self, content: ContentDigest, *, status: int) -> None:
+        """Record that an attempt got a complete answer with this status."""
+        refuted = self.quarantine.record_completion(content)
+        self._log_refuted(refuted, CrashRefutation.ANSWER, status=status)
+        self._report(refuted)
 
     def record_answered_parts(self, parts: Sequence[ContentDigest]) -> None:
         """Record that a server went on after it began to answer these parts."""
         self.sound_parts.record_answer(parts, now=self.clock.monotonic())
         self.failed_trials.difference_update(parts)
-        self._report(
-            [crash for p in parts for crash in self.quarantine.record_completion(p)]
-        )
+        refuted = [c for p in parts for c in self.quarantine.record_completion(p)]
+        self._log_refuted(refuted, CrashRefutation.ANSWER, status=OK_STATUS)
+        self._report(refuted)
 
     def record_lost_connection(
         self,
@@ -191,15 +195,20 @@
         """Merge records of other gateways, and refute those of sound parts."""
         now = self.clock.monotonic()
         changed = self.quarantine.merge(crashes, now=now, now_ms=self.clock.wall_ms())
+        reported = [crash for crash in changed if crash.refuted]
+        self._log_refuted(reported, CrashRefutation.REPORT)
         for crash in changed:
             if self.sound_parts.is_sound(crash.content, now=now):
-                self._report(self.quarantine.record_completion(crash.content))
+                refuted = self.quarantine.record_completion(crash.content)
+                self._log_refuted(refuted, CrashRefutation.EARLIER_ANSWER)
+                self._report(refuted)
         self._log_quarantined(changed)
 
     def drop_expired(self) -> None:
         """Drop records that no longer count."""
         now_ms = self.clock.wall_ms()
-        self.quarantine.drop_expired(now_ms=now_ms)
+        for content in self.quarantine.drop_expired(now_ms=now_ms):
+            log_message("gateway:crashes_expired", content=content)
         self.failed_trials.intersection_update(self.quarantine.crashes)
         now = self.clock.monotonic()
         for process, contents in list(self.unresolved.items()):
@@ -258,6 +267,25 @@
                     incarnation=crash.process.incarnation,
                 )
 
+    def _log_refuted(
+        self,
+        refuted: Iterable[ServerCrash],
+        refutation: CrashRefutation,
+        *,
+        status: int | None = None,
+    ) -> None:
+        now_ms = self.clock.wall_ms()
+        for crash in refuted:
+            log_message(
+                "gateway:crash_refuted",
+                content=crash.content,
+                server=crash.process.server,
+                incarnation=crash.process.incarnation,
+                refutation=refutation.value,
+                status=status,
+                age_ms=crash.age_ms(now_ms=now_ms),
+            )
+
     def _refusal(self, key: ContentDigest, now_ms: int) -> FailureError:
         n_crashes = self.quarantine.n_unexplained(key, now_ms=now_ms)
         retry_after_ms = BUSY_RETRY_AFTER_MS
--- a/turmericreel/model/server_crash.py
+++ b/turmericreel/model/server_crash.py
@@ -1,5 +1,7 @@
 """Record of a server that ended while it ran a request."""
 
+from enum import Enum
+
 import msgspec
 import xxhash
 
@@ -12,6 +14,8 @@
 from turmericreel.model.registered_server import RegisteredServer
 
 PART_PREFIX = "part:"
+# How long a crash counts against a content.
+CRASH_RETENTION_MS = 600_000
 # Clients choose the ids of parts; longer ones are hashed.
 MAX_READABLE_PART = 64
 
@@ -35,6 +39,20 @@
     return content.startswith(PART_PREFIX)
 
 
+class CrashRefutation(Enum):
+    """What showed that a content did not end a server process.
+
+    `ANSWER` is an answer to the content, `EARLIER_ANSWER` one before the crash was
+    reported, `HEARTBEAT` one of the process, and `REPORT` a record of another
+    instance.
+    """
+
+    ANSWER = "answer"
+    EARLIER_ANSWER = "earlier_answer"
+    HEARTBEAT = "heartbeat"
+    REPORT = "report"
+
+
 class ServerCrash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A server process that ended while it ran a content or a prompt part.
 
@@ -53,6 +71,10 @@
     expires_ms: int
     refuted: bool = False
 
+    def age_ms(self, *, now_ms: int) -> int:
+        """Return the time since the crash was recorded, in milliseconds."""
+        return now_ms + CRASH_RETENTION_MS - self.expires_ms
+
 
 def process_of(server: RegisteredServer) -> ServerProcess:
     """Return the process that a registration describes."""
