--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -16,6 +16,8 @@
     make_route("/safe/", max_attempts=3),
     make_route("/unsafe/", kind=RouteKind.UNSAFE),
     stream_route(max_attempts=3),
+    make_route("/safe/once/", max_attempts=1),
+    stream_route("/stream/once/", max_attempts=1),
 )
 
 
@@ -47,6 +49,21 @@
     assert count_ends(system) <= MAX_ENDS
 
 
+@pytest.mark.parametrize("status", [404, 429, 500, 502, 503])
+@pytest.mark.parametrize("kind", ["safe", "stream"])
+def test_answers_without_a_run_do_not_clear_a_request_that_ends_servers(
+    system, kind, status
+):
+    for number in range(2 * MAX_ENDS):
+        send_poison(system, f"{kind}/once", 2 * number, gateway_index=0)
+        for server in system.servers.values():
+            server.unrun_statuses.append(status)
+        send_poison(system, f"{kind}/once", 2 * number + 1, gateway_index=0)
+        for server in system.servers.values():
+            server.unrun_statuses.clear()
+    assert count_ends(system) <= MAX_ENDS
+
+
 def test_request_that_ends_servers_is_not_sent_on_without_coordinators(system):
     for coordinator in system.coordinators:
         coordinator.stop()
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -103,6 +103,8 @@
         WSGI environment and body of each request, executed or refused.
     misbehaviours : deque of Misbehaviour
         Faults of the next requests, in order.
+    unrun_statuses : deque of int
+        Statuses with which the next requests are answered without being run, in order.
     idle_timeout_s : float
         Idle time after which the server drops the next request on a connection
         without executing it.
@@ -148,6 +150,7 @@
         self.n_ended_streams = 0
         self.misbehaviours: deque[Misbehaviour] = deque()
         self.confidence = "100"
+        self.unrun_statuses: deque[int] = deque()
         self.idle_timeout_s = inf
         self.last_used_by_port: dict[str, float] = {}
         self.fatal_bodies: set[bytes] = set()
@@ -243,6 +246,9 @@
             headers.append((self.names.not_run, "1"))
             start_response("503 Full", headers)
             return [b"full"]
+        if self.unrun_statuses:
+            start_response(f"{self.unrun_statuses.popleft()} Unrun", headers)
+            return [b"unrun"]
         last_event = environ.get(environ_key(self.names.last_event_id), "")
         path = environ["PATH_INFO"]
         self.runs.append((self._header(environ, "attempt_id"), path, last_event))
