Clear a request that ends servers only by answers that show it has run

Callers saw requests refused and then sent on: any complete answer, such as a 500, 502, 503, 404 or 429 that a server sent without running the request, refuted all crashes of its content, so that it ended three more servers each time. Only 2xx answers need a run; others now neither clear a content nor count against it.

--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -197,9 +197,11 @@
             self._record_answered_parts()
         match how:
             case AttemptEnd.ANSWERED | AttemptEnd.FAILED:
-                self.guard.record_completion(
-                    content, status=self.exchange.answer.status
-                )
+                # Any other status may be sent without running the request.
+                if is_success(self.exchange.answer.status):
+                    self.guard.record_completion(
+                        content, status=self.exchange.answer.status
+                    )
             case AttemptEnd.BROKEN if self.exchange.connection_lost:
                 self._log_connection_lost()
                 self.guard.record_lost_connection(content, self.server, parts)
@@ -220,6 +222,11 @@
         )
 
 
+def is_success(status: int) -> bool:
+    """Return whether only a request that was run gets this status."""
+    return status // 100 == 2
+
+
 def was_refused(failure: Failure) -> bool:
     """Return whether a server stated that it did not run the request."""
     refused = ProofKind.REFUSED_BY_PROTOCOL
