--- a/test/accounts/test_request_path.py
+++ b/test/accounts/test_request_path.py
@@ -1,5 +1,6 @@
 """Broken streams resume at another server; failures state whether work ran."""
 
+from dataclasses import replace
 from random import Random
 
 from test.accounts.oracle import (
@@ -179,3 +180,25 @@
     assert isinstance(failure, NotRun)
     assert ends
     assert set(ends) == {AttemptEnd.UNREACHABLE}
+
+
+def test_answer_with_an_error_status_does_not_clear_a_content():
+    world = World()
+    entry = build_instance(world, "entry-1")
+    ends = []
+    entry.path.attempts.contents.report_end = lambda dispatch, end: ends.append(end)
+    run = entry.servers.run
+
+    def run_with_error(dispatch):
+        for piece in run(dispatch):
+            yield replace(piece, status=500)
+
+    entry.servers.run = run_with_error
+    booking = {
+        "service": ServiceName("booking-app"),
+        "kind": RequestKind.PLAIN,
+        "repeatable": False,
+        "idempotency_key": IdempotencyKey("k"),
+    }
+    run_request(entry, world, [AttemptScenario.OK], version="v1", **booking)
+    assert ends == [AttemptEnd.FAILED]
--- a/turmericreel/decisions/server_policy.py
+++ b/turmericreel/decisions/server_policy.py
@@ -13,9 +13,15 @@
 
 
 class AttemptEnd(Enum):
-    """How an attempt ended, from the point of view of its server."""
+    """How an attempt ended, from the point of view of its server.
+
+    `COMPLETED` has a complete answer.  `FAILED` has one with an error status, which the
+    server may have sent without running the request; only the guard of contents tells
+    the two apart.
+    """
 
     COMPLETED = "completed"
+    FAILED = "failed"
     CANCELLED = "cancelled"
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
--- a/turmericreel/entry/attempts.py
+++ b/turmericreel/entry/attempts.py
@@ -209,7 +209,9 @@
             end = _attempt_end(error.failure)
             raise
         finally:
-            self.contents.report_end(dispatch, end)
+            has_run = recorder.status // 100 == 2
+            failed = end is AttemptEnd.COMPLETED and not has_run
+            self.contents.report_end(dispatch, AttemptEnd.FAILED if failed else end)
             now = self.clock.monotonic()
             ended = EndedAttempt(
                 server=dispatch.server.server,
--- a/turmericreel/entry/contents.py
+++ b/turmericreel/entry/contents.py
@@ -95,7 +95,7 @@
         match end:
             case AttemptEnd.COMPLETED:
                 spawn(self._report, dispatch, ContentEnd.PROVED)
-            case AttemptEnd.REFUSED | AttemptEnd.UNREACHABLE:
+            case AttemptEnd.REFUSED | AttemptEnd.UNREACHABLE | AttemptEnd.FAILED:
                 spawn(self._report, dispatch, ContentEnd.RELEASED)
             case AttemptEnd.BROKEN:
                 self._report(dispatch, ContentEnd.CRASHED)
