Do not clear a request by an answer that ends with its server

A server that ends closes its connections, which also completes an answer that has neither a length nor chunks. The attempt now stays open until the server process ends, which counts, or answers again on a connection that it had before, which clears the request.

--- a/test/routing/test_content_quarantine.py
+++ b/test/routing/test_content_quarantine.py
@@ -163,6 +163,22 @@
     assert not fixture.guard.unresolved
 
 
+def test_answer_on_an_earlier_connection_shows_that_the_server_went_on(fixture):
+    server = make_server("s1")
+    fixture.guard.record_lost_connection(POISON, make_server("s2"))
+    opened_at = fixture.clock.monotonic()
+    fixture.clock.advance(1.0)
+    fixture.guard.record_unresolved(POISON, server, ended=False, is_answered=True)
+    fixture.clock.advance(1.0)
+    later = fixture.clock.monotonic()
+    fixture.guard.record_later_answer(server, opened_at=later)
+    assert fixture.n_crashes() == 1
+    fixture.guard.record_later_answer(server, opened_at=opened_at)
+    assert fixture.n_crashes() == 0
+    fixture.guard.record_ended_server(server)
+    assert fixture.n_crashes() == 0
+
+
 def test_attempt_that_outlasts_its_server_counts_as_a_crash(fixture):
     fixture.guard.record_unresolved(POISON, make_server("s1"), ended=True)
     assert fixture.n_crashes() == 1
--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -64,6 +64,20 @@
     assert count_ends(system) <= MAX_ENDS
 
 
+@pytest.mark.parametrize("kind", ["safe", "stream"])
+def test_answer_that_ends_with_its_server_does_not_clear_the_request(system, kind):
+    for server in system.servers.values():
+        server.answers_before_end = True
+    for number in range(2 * MAX_ENDS):
+        send_poison(system, f"{kind}/once", number, gateway_index=0)
+        wait_until(
+            lambda: not any(server.is_down for server in system.servers.values()),
+            "the servers to start again",
+        )
+        sleep(0.1)
+    assert 0 < count_ends(system) <= MAX_ENDS
+
+
 def test_request_that_ends_servers_is_not_sent_on_without_coordinators(system):
     for coordinator in system.coordinators:
         coordinator.stop()
--- a/turmericreel/entry/server_connections.py
+++ b/turmericreel/entry/server_connections.py
@@ -38,10 +38,13 @@
     address : Address
     sock : socket
         The connection takes ownership of it.
+    opened_at : float
+        Seconds on the monotonic clock.
     """
 
-    def __init__(self, *, address: Address, sock: socket.socket):
+    def __init__(self, *, address: Address, sock: socket.socket, opened_at: float):
         self.address = address
+        self.opened_at = opened_at
         self.sock = sock
         self.sock.setblocking(False)
         self.idle_deadline = 0.0
@@ -131,7 +134,9 @@
         connected = create_connection((address.host, address.port), timeout=timeout)
         sock = socket.socket(fileno=connected.detach())
         set_unacknowledged_timeout(sock)
-        return ServerConnection(address=address, sock=sock)
+        return ServerConnection(
+            address=address, sock=sock, opened_at=self.clock.monotonic()
+        )
 
     def acquire(
         self, address: Address, *, timeout: float, must_be_fresh: bool = False
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -112,6 +112,9 @@
         Bodies of requests that end the server: a plain request as it begins to run, a
         stream before its third event. All connections break, and the server listens
         again after `restart_delay_s`.
+    answers_before_end : bool
+        Whether a request with a fatal body gets a whole answer, without a length,
+        before the server ends.
     is_leaving : bool
         Whether all answers say that the server is about to leave.
     pause_s : float
@@ -154,6 +157,7 @@
         self.idle_timeout_s = inf
         self.last_used_by_port: dict[str, float] = {}
         self.fatal_bodies: set[bytes] = set()
+        self.answers_before_end = False
         self.is_leaving = False
         self.pause_s = 1.0
         self.pause_deadline = 0.0
@@ -255,6 +259,16 @@
         is_stream = environ.get("HTTP_ACCEPT") == EVENT_STREAM
         is_fatal = body in self.fatal_bodies
         fatal_part = self._fatal_part(environ)
+        if is_fatal and self.answers_before_end:
+            with contextlib.suppress(BrokenPipeError):
+                self._send_unframed(
+                    environ,
+                    Misbehaviour.UNFRAMED,
+                    headers,
+                    is_stream=is_stream,
+                    after=int(last_event or 0),
+                )
+            self.end(path)
         if (is_fatal or fatal_part) and (not is_stream or fault in UNFRAMED_ANSWERS):
             self.end(fatal_part or path)
         if fault is Misbehaviour.ENDLESS:
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -147,6 +147,9 @@
             raise
         finally:
             self.chooser.work.remove(server.server, prompt.full_prefill_ms)
+        self.guard.record_later_answer(
+            server, opened_at=server_answer.connection.opened_at
+        )
         self._record_answer(request, server, progress, attempt, server_answer)
         return attempt, server_answer
 
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -192,16 +192,9 @@
     def _tell_guard(self, how: AttemptEnd) -> None:
         content = self.exchange.request.content
         parts = self.exchange.request.part_digests
-        # A server may refuse or fail a request before it reads the prompt.
-        if how is AttemptEnd.ANSWERED and self.exchange.answer.status == OK_STATUS:
-            self._record_answered_parts()
         match how:
             case AttemptEnd.ANSWERED | AttemptEnd.FAILED:
-                # Any other status may be sent without running the request.
-                if is_success(self.exchange.answer.status):
-                    self.guard.record_completion(
-                        content, status=self.exchange.answer.status
-                    )
+                self._record_answer()
             case AttemptEnd.BROKEN if self.exchange.connection_lost:
                 self._log_connection_lost()
                 self.guard.record_lost_connection(content, self.server, parts)
@@ -211,6 +204,29 @@
                 )
         self.guard.end_attempt(content, parts)
 
+    def _record_answer(self) -> None:
+        """Tell the guard what a complete answer shows.
+
+        A server that ends closes its connections too, so an answer that ends with its
+        connection does not show that the server went on.
+        """
+        answer, request = self.exchange.answer, self.exchange.request
+        # Any other status may be sent without running the request.
+        if not is_success(answer.status):
+            return
+        if answer.ended_with_connection:
+            self.guard.record_unresolved(
+                request.content,
+                self.server,
+                request.part_digests,
+                ended=self.has_ended(self.server),
+                is_answered=True,
+            )
+            return
+        if answer.status == OK_STATUS:
+            self._record_answered_parts()
+        self.guard.record_completion(request.content, status=answer.status)
+
     def _log_connection_lost(self) -> None:
         log_message(
             "gateway:connection_lost",
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 
 from eliot import log_message
 
@@ -39,6 +40,24 @@
 OK_STATUS = 200
 
 
+@dataclass(frozen=True, kw_only=True)
+class UnresolvedAttempt:
+    """An attempt after which the server process may have ended.
+
+    Attributes
+    ----------
+    ended_at, deadline : float
+        When the attempt ended, and until when it counts against its content if the
+        process ends; in seconds on the monotonic clock.
+    is_answered : bool
+        Whether it clears its content if the process went on.
+    """
+
+    ended_at: float
+    deadline: float
+    is_answered: bool
+
+
 class CrashGuard:
     """Admits attempts by the crashes of their contents.
 
@@ -60,9 +79,8 @@
         Quarantined parts of the attempts that try them now.
     failed_trials : set of ContentDigest
         Parts under which a server ended again when they were tried.
-    unresolved : dict of ServerProcess to dict of ContentDigest to float
-        Contents whose attempts ended without an answer, until the given deadlines on
-        the monotonic clock.  They count as crashes if the process ends meanwhile.
+    unresolved : dict of ServerProcess to dict of ContentDigest to UnresolvedAttempt
+        Contents whose last attempts count as crashes if the process ends in time.
     """
 
     def __init__(
@@ -80,7 +98,9 @@
         self.n_running: Counter[ContentDigest] = Counter()
         self.trials: set[ContentDigest] = set()
         self.failed_trials: set[ContentDigest] = set()
-        self.unresolved: dict[ServerProcess, dict[ContentDigest, float]] = {}
+        self.unresolved: dict[
+            ServerProcess, dict[ContentDigest, UnresolvedAttempt]
+        ] = {}
 
     def begin_attempt(
         self, content: ContentDigest, parts: Sequence[ContentDigest] = ()
@@ -163,8 +183,9 @@
         parts: Sequence[ContentDigest] = (),
         *,
         ended: bool,
+        is_answered: bool = False,
     ) -> None:
-        """Record that an attempt ended without an answer or a closed connection.
+        """Record that an attempt ended and left open whether the server did.
 
         Parameters
         ----------
@@ -173,14 +194,21 @@
         parts : sequence of ContentDigest
         ended : bool
             Whether the server process is known to have ended.
+        is_answered : bool
+            Whether there was an answer that clears the content if the server went on.
         """
         process = process_of(server)
         if ended:
             self.record_lost_connection(content, server, parts)
             return
         contents = self.unresolved.setdefault(process, {})
+        now = self.clock.monotonic()
         for key in (content, *parts):
-            contents[key] = self.clock.monotonic() + UNRESOLVED_RETENTION_S
+            contents[key] = UnresolvedAttempt(
+                ended_at=now,
+                deadline=now + UNRESOLVED_RETENTION_S,
+                is_answered=is_answered,
+            )
         while len(contents) > MAX_UNRESOLVED_PER_SERVER:
             del contents[next(iter(contents))]
 
@@ -188,9 +216,34 @@
         """Count crashes of the contents whose attempts at the server are unresolved."""
         now = self.clock.monotonic()
         contents = self.unresolved.pop(process_of(server), {})
-        pending = [key for key, deadline in contents.items() if now < deadline]
+        pending = [key for key, attempt in contents.items() if now < attempt.deadline]
         self._record_crashes(self._suspected(pending), process_of(server))
 
+    def record_later_answer(
+        self, server: RegisteredServer, *, opened_at: float
+    ) -> None:
+        """Resolve the attempts that ended before a server answered another one.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+        opened_at : float
+            When the connection of the answer was opened, in seconds on the monotonic
+            clock.  Only the same process can answer on an earlier connection.
+        """
+        process = process_of(server)
+        contents = self.unresolved.get(process, {})
+        survived = [k for k, a in contents.items() if opened_at <= a.ended_at]
+        answered = [key for key in survived if contents.pop(key).is_answered]
+        if not contents:
+            self.unresolved.pop(process, None)
+        parts = [key for key in answered if is_part(key)]
+        if parts:
+            self.record_answered_parts(parts)
+        for key in answered:
+            if not is_part(key):
+                self.record_completion(key, status=OK_STATUS)
+
     def receive(self, crashes: Iterable[ServerCrash]) -> None:
         """Merge records of other gateways, and refute those of sound parts."""
         now = self.clock.monotonic()
@@ -212,7 +265,7 @@
         self.failed_trials.intersection_update(self.quarantine.crashes)
         now = self.clock.monotonic()
         for process, contents in list(self.unresolved.items()):
-            if max(contents.values(), default=0.0) <= now:
+            if all(attempt.deadline <= now for attempt in contents.values()):
                 del self.unresolved[process]
 
     def _suspected(self, keys: Sequence[ContentDigest]) -> list[ContentDigest]:
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -46,10 +46,16 @@
     load : ServerLoad
         Load of the server.  Bytes that the server sends on any connection restart the
         idle timeout.
+
+    Attributes
+    ----------
+    ended_with_connection : bool
+        Whether only the closed connection showed where the answer ends.
     """
 
     def __init__(self, *, load: ServerLoad, **options):
         self.load = load
+        self.ended_with_connection = False
         super().__init__(**options)
 
     def set_idle_timeout(self, idle_timeout_s: float | None) -> None:
@@ -73,12 +79,13 @@
             self.load.last_byte_at = self.last_read
             return n_bytes
         except FailureError:
-            if not self._ended_with_connection():
+            if not self._may_end_with_connection():
                 raise
+            self.ended_with_connection = True
             self.parser.message_complete = True
             return 0
 
-    def _ended_with_connection(self) -> bool:
+    def _may_end_with_connection(self) -> bool:
         if not self.parser.headers_complete or self.timed_out or self.was_reset:
             return False
         chunked = "chunked" in self.header("Transfer-Encoding").lower()
