Let tests listen outside the ephemeral ports

Six runs of test_poison_requests.py at a time at a load of 26 failed once in 30 with 'Address already in use': a port that was free at one address had become an outgoing port at another.

--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -2,7 +2,8 @@
 
 import socket
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
+from random import SystemRandom
 
 import msgspec
 from gevent import sleep
@@ -29,6 +30,7 @@
 
 NAMES = HeaderNames()
 TIMEOUT_S = 10.0
+LISTENING_PORTS = (10_000, 30_000)
 
 
 class JsonCodec(RoutingCodec):
@@ -43,10 +45,15 @@
 
 
 def free_port(host: str) -> int:
-    """Return a port that is not in use."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that is not in use.
+
+    Ports of the ephemeral range may become outgoing ones of another test run.
+    """
+    while True:
+        with socket.socket() as probe, suppress(OSError):
+            port = SystemRandom().randrange(*LISTENING_PORTS)
+            probe.bind((host, port))
+            return port
 
 
 def wait_until(condition, what: str) -> None:
