Keep the time of crashes by clocks that no step can move

Crash records expired by the wall clock and were ordered by it. After a step forward of a gateway's clock by ten minutes all requests that end servers were sent again; after a step back its records were ignored by the others. Records now expire on the holder's monotonic clock, travel with the time that is left, and are ordered by a revision that counts how often an end was recorded after it had been refuted. Found by reading; both cases of the new test failed before.

--- a/test/routing/test_content_quarantine.py
+++ b/test/routing/test_content_quarantine.py
@@ -20,7 +20,12 @@
 from turmericreel.gateway.crash_guard import UNRESOLVED_RETENTION_S, CrashGuard
 from turmericreel.model.failures import FailureError, NotRun, NotRunReason
 from turmericreel.model.ids import ContentDigest, PromptPartId
-from turmericreel.model.server_crash import ServerCrash, ServerProcess, part_digest
+from turmericreel.model.server_crash import (
+    CrashReport,
+    ServerCrash,
+    ServerProcess,
+    part_digest,
+)
 from turmericreel.util.clock import ManualClock
 
 POISON = ContentDigest("poison")
@@ -77,7 +82,7 @@
     quarantine = quarantine_with(1)
     first, last = HEARTBEAT_DELAY_S, HEARTBEAT_DELAY_S + MIN_HEARTBEAT_SPAN_S
     send_heartbeats(quarantine, "s0", first, first + 1.0)
-    later_ms = NOW_MS + 1
+    later_ms = NOW_MS + int(last * 1_000)
     quarantine.record_crash(POISON, process("s0"), now=last, now_ms=later_ms)
     assert send_heartbeats(quarantine, "s0", last, last + HEARTBEAT_DELAY_S) == []
     assert quarantine.n_crashes(POISON, now_ms=NOW_MS) == 1
@@ -136,6 +141,7 @@
     ),
     expires_ms=st.integers(NOW_MS + 1, NOW_MS + 5),
     refuted=st.booleans(),
+    revision=st.integers(0, 2),
 )
 
 
@@ -155,11 +161,11 @@
 
     def __init__(self):
         self.clock = ManualClock(now=1_000.0)
-        self.reported: list[ServerCrash] = []
+        self.reported: list[CrashReport] = []
         self.guard = CrashGuard(report=self.reported.extend, clock=self.clock)
 
     def n_crashes(self) -> int:
-        now_ms = self.clock.wall_ms()
+        now_ms = int(self.clock.monotonic() * 1_000)
         return self.guard.quarantine.n_crashes(POISON, now_ms=now_ms)
 
 
@@ -228,6 +234,38 @@
     guard.begin_attempt(POISON)
 
 
+def reports_of(quarantine: ContentQuarantine) -> list[CrashReport]:
+    return [crash.report(now_ms=NOW_MS) for crash in quarantine.records()]
+
+
+class SteppedClock(ManualClock):
+    """A clock whose wall time differs from that of other instances."""
+
+    def __init__(self, *, now: float, wall_step_ms: int):
+        super().__init__(now=now)
+        self.wall_step_ms = wall_step_ms
+
+    def wall_ms(self) -> int:
+        """Return the time that was last set plus the step, in milliseconds."""
+        return super().wall_ms() + self.wall_step_ms
+
+
+@pytest.mark.parametrize("step_ms", [-2 * CRASH_RETENTION_MS, 2 * CRASH_RETENTION_MS])
+def test_step_of_the_wall_clock_does_not_forget_crashes(step_ms):
+    reported = []
+    clock = SteppedClock(now=1_000.0, wall_step_ms=0)
+    stepped = CrashGuard(report=reported.extend, clock=clock)
+    other = CrashGuard(report=reported.extend, clock=ManualClock(now=1_000.0))
+    for name in ("s1", "s2"):
+        stepped.record_lost_connection(POISON, make_server(name))
+    clock.wall_step_ms = step_ms
+    stepped.drop_expired()
+    stepped.record_lost_connection(POISON, make_server("s3"))
+    assert stepped.is_quarantined(POISON)
+    other.receive(reported)
+    assert other.is_quarantined(POISON)
+
+
 BAD, SYSTEM, RARE = (part_digest(PromptPartId(p)) for p in ("bad", "system", "rare"))
 
 
@@ -256,7 +294,7 @@
 
 def guard_with(quarantine, **options) -> CrashGuard:
     guard = CrashGuard(report=lambda crashes: None, clock=ManualClock(), **options)
-    guard.receive(quarantine.records())
+    guard.receive(reports_of(quarantine))
     return guard
 
 
@@ -294,7 +332,7 @@
     reported = []
     guard = CrashGuard(report=reported.extend, clock=ManualClock())
     guard.record_answered_parts([SYSTEM])
-    guard.receive(quarantine_of(system="abc", bad="abc").records())
+    guard.receive(reports_of(quarantine_of(system="abc", bad="abc")))
     assert [(c.content, c.refuted) for c in reported] == [(SYSTEM, True)] * 3
     assert is_admitted(guard, SYSTEM)
     assert not is_admitted(guard, SYSTEM, BAD)
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -10,6 +10,7 @@
 
 from eliot import log_message
 from gevent.event import Event
+from msgspec.structs import replace
 
 from turmericreel.decisions.content_quarantine import ContentQuarantine
 from turmericreel.decisions.server_health import ServerHealth
@@ -19,6 +20,7 @@
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.server_crash import (
     CrashRefutation,
+    CrashReport,
     ServerCrash,
     ServerProcess,
     process_of,
@@ -90,6 +92,8 @@
         self.heartbeat = heartbeat
         self.clock = clock
         self.now = clock.monotonic
+        # Stays the same, so that the state to save does not change with the clock.
+        self.wall_offset_ms = clock.wall_ms() - int(clock.monotonic() * 1_000)
         self.gateways: dict[InstanceId, GatewayEntry] = {}
         self.gateways_of_peers: dict[InstanceId, dict[InstanceId, GatewayInstance]] = {}
         self.changed_gateways: set[InstanceId] = set()
@@ -116,7 +120,8 @@
         """
         self.restored = state
         self.registry.restore(state.servers, now=self.now(), expiry_s=expiry_s)
-        self._merge_crashes(state.crashes)
+        now_ms = self.clock.wall_ms()
+        self._merge_crashes(crash.report(now_ms=now_ms) for crash in state.crashes)
 
     def distributed_state(self) -> RoutingState:
         """Return the state that this coordinator currently distributes."""
@@ -126,7 +131,10 @@
             document=routing.document,
             rollouts=self._rollouts().rollouts,
             servers=tuple(self.registry.servers.values()),
-            crashes=self.quarantine.records(),
+            crashes=tuple(
+                replace(crash, expires_ms=crash.expires_ms + self.wall_offset_ms)
+                for crash in self.quarantine.records()
+            ),
         )
 
     def record_heartbeat(self, reported: RegisteredServer) -> None:
@@ -142,7 +150,7 @@
         """Refute the crashes of a server that reported later."""
         process = process_of(reported)
         refuted = self.quarantine.record_heartbeat(process, now=self.now())
-        now_ms = self.clock.wall_ms()
+        now_ms = self._now_ms()
         for crash in refuted:
             log_message(
                 "coordinator:crash_refuted",
@@ -155,15 +163,15 @@
             )
         self._publish_crashes(refuted)
 
-    def receive_crashes(self, crashes: Iterable[ServerCrash]) -> None:
+    def receive_crashes(self, reports: Iterable[CrashReport]) -> None:
         """Merge the records of a gateway, and pass on what is new."""
-        self._publish_crashes(self._merge_crashes(crashes))
+        self._publish_crashes(self._merge_crashes(reports))
 
-    def receive_peer_crashes(self, crashes: Iterable[ServerCrash]) -> None:
+    def receive_peer_crashes(self, reports: Iterable[CrashReport]) -> None:
         """Merge the records of another coordinator, and send gateways what is new."""
-        changed = self._merge_crashes(crashes)
+        changed = self._merge_crashes(reports)
         if changed:
-            self._send_to_gateways(ServerCrashes(crashes=tuple(changed)))
+            self._send_to_gateways(self._crash_message(changed))
 
     def deregister_server(self, server: BackendServerId) -> None:
         """Deregister a server that is permanently gone."""
@@ -232,7 +240,7 @@
         """Add a coordinator and send it all registrations and own gateways."""
         self.peers[instance] = session
         session.send(Servers(servers=tuple(self.registry.servers.values())))
-        session.send(ServerCrashes(crashes=self.quarantine.records()))
+        session.send(self._crash_message(self.quarantine.records()))
         own = tuple(e.status.gateway for e in self.gateways.values())
         session.send(Gateways(gateways=own, complete=True))
 
@@ -360,7 +368,7 @@
         # A gateway that is starting must not serve before it knows the crashes.
         messages: list[RoutingMessage] = [
             self.heartbeat(),
-            ServerCrashes(crashes=self.quarantine.records()),
+            self._crash_message(self.quarantine.records()),
         ]
         if self._routing_source().revision:
             messages.append(self._routing())
@@ -440,19 +448,27 @@
         for peer in self.peers.values():
             peer.send(message)
 
-    def _merge_crashes(self, crashes: Iterable[ServerCrash]) -> list[ServerCrash]:
-        now_ms = self.clock.wall_ms()
+    def _merge_crashes(self, reports: Iterable[CrashReport]) -> list[ServerCrash]:
+        now_ms = self._now_ms()
         self.quarantine.drop_expired(now_ms=now_ms)
+        crashes = [report.record(now_ms=now_ms) for report in reports]
         return self.quarantine.merge(crashes, now=self.now(), now_ms=now_ms)
 
     def _publish_crashes(self, changed: list[ServerCrash]) -> None:
         if not changed:
             return
-        message = ServerCrashes(crashes=tuple(changed))
+        message = self._crash_message(changed)
         self._send_to_gateways(message)
         for peer in self.peers.values():
             peer.send(message)
 
+    def _crash_message(self, crashes: Iterable[ServerCrash]) -> ServerCrashes:
+        now_ms = self._now_ms()
+        return ServerCrashes(crashes=tuple(c.report(now_ms=now_ms) for c in crashes))
+
+    def _now_ms(self) -> int:
+        return int(self.now() * 1_000)
+
     def _send_to_gateways(self, message: RoutingMessage) -> None:
         for entry in list(self.gateways.values()):
             entry.session.send(message)
--- a/turmericreel/decisions/content_quarantine.py
+++ b/turmericreel/decisions/content_quarantine.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 
 import xxhash
+from msgspec.structs import replace
 
 from turmericreel.model.ids import ContentDigest, InstanceId
 from turmericreel.model.server_crash import (
@@ -80,7 +81,7 @@
         now : float
             Seconds on the monotonic clock.
         now_ms : int
-            Wall time in milliseconds.
+            Milliseconds on the clock of the records.
         """
         return [crash for crash in crashes if self._merge_one(crash, now, now_ms)]
 
@@ -93,8 +94,19 @@
         now_ms: int,
     ) -> list[ServerCrash]:
         """Record that a process ended while it ran a content; return the new record."""
+        known = self.crashes.get(content, {}).get(process)
+        revision = 0
+        if known is not None:
+            # Connections that break together show one end.
+            is_same_end = known.age_ms(now_ms=now_ms) < HEARTBEAT_DELAY_S * 1_000
+            if is_same_end and not known.refuted:
+                return []
+            revision = known.revision + 1
         crash = ServerCrash(
-            content=content, process=process, expires_ms=now_ms + CRASH_RETENTION_MS
+            content=content,
+            process=process,
+            expires_ms=now_ms + CRASH_RETENTION_MS,
+            revision=revision,
         )
         return self.merge([crash], now=now, now_ms=now_ms)
 
@@ -189,6 +201,12 @@
             return False
         known = self.crashes.get(crash.content, {}).get(crash.process)
         if known is not None and _recency(crash) <= _recency(known):
+            if _recency(crash) == _recency(known):
+                # Copies that other instances passed on expire later than the first.
+                expires_ms = min(crash.expires_ms, known.expires_ms)
+                self.crashes[crash.content][crash.process] = replace(
+                    known, expires_ms=expires_ms
+                )
             return False
         if crash.content not in self.crashes:
             self._make_room()
@@ -201,14 +219,7 @@
 
     def _refute(self, crashes: list[ServerCrash]) -> list[ServerCrash]:
         refuted = [
-            ServerCrash(
-                content=crash.content,
-                process=crash.process,
-                expires_ms=crash.expires_ms,
-                refuted=True,
-            )
-            for crash in crashes
-            if not crash.refuted
+            replace(crash, refuted=True) for crash in crashes if not crash.refuted
         ]
         for crash in refuted:
             self.crashes[crash.content][crash.process] = crash
@@ -264,4 +275,4 @@
 def _recency(crash: ServerCrash) -> tuple[int, bool]:
     # The same process may lose its connection again after an earlier crash of it was
     # refuted; then the newer record counts.
-    return (crash.expires_ms, crash.refuted)
+    return (crash.revision, crash.refuted)
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -24,6 +24,7 @@
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.server_crash import (
     CrashRefutation,
+    CrashReport,
     ServerCrash,
     ServerProcess,
     is_part,
@@ -86,7 +87,7 @@
     def __init__(
         self,
         *,
-        report: Callable[[list[ServerCrash]], None],
+        report: Callable[[list[CrashReport]], None],
         clock: Clock,
         tries_part: Callable[[ContentDigest], bool] = lambda part: True,
     ):
@@ -121,7 +122,7 @@
         FailureError
             With `NotRun` if the content or a part is refused.
         """
-        now_ms = self.clock.wall_ms()
+        now_ms = self._now_ms()
         refused = [key for key in (content, *parts) if self._is_refused(key, now_ms)]
         if refused and not self._is_trial(refused, parts, now_ms):
             raise self._refusal(refused[0], now_ms)
@@ -142,7 +143,7 @@
         self, content: ContentDigest, parts: Sequence[ContentDigest] = ()
     ) -> bool:
         """Return whether no more copies of a content may be sent."""
-        now_ms = self.clock.wall_ms()
+        now_ms = self._now_ms()
         return any(
             self.quarantine.n_unexplained(key, now_ms=now_ms) >= MAX_CRASHES
             for key in (content, *parts)
@@ -150,7 +151,7 @@
 
     def n_quarantined(self) -> int:
         """Return the number of contents that are refused."""
-        return self.quarantine.n_quarantined(now_ms=self.clock.wall_ms())
+        return self.quarantine.n_quarantined(now_ms=self._now_ms())
 
     def record_completion(self, content: ContentDigest, *, status: int) -> None:
         """Record that an attempt got a complete answer with this status."""
@@ -244,10 +245,16 @@
             if not is_part(key):
                 self.record_completion(key, status=OK_STATUS)
 
-    def receive(self, crashes: Iterable[ServerCrash]) -> None:
+    def reports(self) -> tuple[CrashReport, ...]:
+        """Return all records for other instances."""
+        now_ms = self._now_ms()
+        return tuple(c.report(now_ms=now_ms) for c in self.quarantine.records())
+
+    def receive(self, reports: Iterable[CrashReport]) -> None:
         """Merge records of other gateways, and refute those of sound parts."""
-        now = self.clock.monotonic()
-        changed = self.quarantine.merge(crashes, now=now, now_ms=self.clock.wall_ms())
+        now, now_ms = self.clock.monotonic(), self._now_ms()
+        crashes = [report.record(now_ms=now_ms) for report in reports]
+        changed = self.quarantine.merge(crashes, now=now, now_ms=now_ms)
         reported = [crash for crash in changed if crash.refuted]
         self._log_refuted(reported, CrashRefutation.REPORT)
         for crash in changed:
@@ -259,7 +266,7 @@
 
     def drop_expired(self) -> None:
         """Drop records that no longer count."""
-        now_ms = self.clock.wall_ms()
+        now_ms = self._now_ms()
         for content in self.quarantine.drop_expired(now_ms=now_ms):
             log_message("gateway:crashes_expired", content=content)
         self.failed_trials.intersection_update(self.quarantine.crashes)
@@ -295,7 +302,7 @@
     def _record_crashes(
         self, keys: Iterable[ContentDigest], process: ServerProcess
     ) -> None:
-        now, now_ms = self.clock.monotonic(), self.clock.wall_ms()
+        now, now_ms = self.clock.monotonic(), self._now_ms()
         changed = [
             crash
             for key in keys
@@ -308,7 +315,12 @@
 
     def _report(self, changed: list[ServerCrash]) -> None:
         if changed:
-            self.report(changed)
+            now_ms = self._now_ms()
+            self.report([crash.report(now_ms=now_ms) for crash in changed])
+
+    def _now_ms(self) -> int:
+        # Steps of the wall clock must neither expire nor extend records.
+        return int(self.clock.monotonic() * 1_000)
 
     def _log_quarantined(self, changed: list[ServerCrash]) -> None:
         for crash in changed:
@@ -327,7 +339,7 @@
         *,
         status: int | None = None,
     ) -> None:
-        now_ms = self.clock.wall_ms()
+        now_ms = self._now_ms()
         for crash in refuted:
             log_message(
                 "gateway:crash_refuted",
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -156,7 +156,7 @@
             view=self.view,
             status=self.status,
             work=self._work_report,
-            crashes=self.guard.quarantine.records,
+            crashes=self.guard.reports,
             on_change=self._on_view_change,
             rng=rng,
         )
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -16,7 +16,7 @@
 from turmericreel.gateway.view import GatewayView
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import InstanceId
-from turmericreel.model.server_crash import ServerCrash
+from turmericreel.model.server_crash import CrashReport
 from turmericreel.protocols.addresses import parse_address
 from turmericreel.protocols.frames import FrameStream
 from turmericreel.protocols.routing_messages import (
@@ -70,7 +70,7 @@
         view: GatewayView,
         status: Callable[[], GatewayStatus],
         work: Callable[[], GatewayWork],
-        crashes: Callable[[], tuple[ServerCrash, ...]],
+        crashes: Callable[[], tuple[CrashReport, ...]],
         on_change: Callable[[], None],
     ):
         self.address = parse_address(address)
@@ -78,7 +78,7 @@
         self.status = status
         self.work = work
         self.crashes = crashes
-        self.unsent_crashes: list[ServerCrash] = []
+        self.unsent_crashes: list[CrashReport] = []
         self.on_change = on_change
         self.connected = False
         self.is_open = False
@@ -92,7 +92,7 @@
         self.status_due = True
         self.wakes_reporter.set()
 
-    def send_crashes(self, crashes: list[ServerCrash]) -> None:
+    def send_crashes(self, crashes: list[CrashReport]) -> None:
         """Send records now.
 
         Without a connection they are dropped, because all are sent on connecting.
@@ -214,7 +214,7 @@
         view: GatewayView,
         status: Callable[[], GatewayStatus],
         work: Callable[[], GatewayWork],
-        crashes: Callable[[], tuple[ServerCrash, ...]],
+        crashes: Callable[[], tuple[CrashReport, ...]],
         on_change: Callable[[], None],
         rng: Random,
     ):
@@ -251,7 +251,7 @@
         for link in self.links.values():
             link.report_now()
 
-    def send_crashes(self, crashes: list[ServerCrash]) -> None:
+    def send_crashes(self, crashes: list[CrashReport]) -> None:
         """Send new records of servers that ended under requests on all links."""
         for link in self.links.values():
             link.send_crashes(crashes)
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -23,7 +23,7 @@
 from turmericreel.model.registered_server import RegisteredServer, ServerState
 from turmericreel.model.routing import Rollout, RolloutStage
 from turmericreel.model.routing_codec import RoutingCodec
-from turmericreel.model.server_crash import ServerCrash
+from turmericreel.model.server_crash import CrashReport
 from turmericreel.protocols.routing_messages import (
     Beat,
     Gateways,
@@ -67,7 +67,7 @@
         codec: RoutingCodec,
         on_usage_recorded: Callable[[Incarnation, int], None],
         on_work: Callable[[ServerWork], None],
-        on_crashes: Callable[[tuple[ServerCrash, ...]], None],
+        on_crashes: Callable[[tuple[CrashReport, ...]], None],
         on_server_ended: Callable[[RegisteredServer], None],
     ):
         self.codec = codec
--- a/turmericreel/model/server_crash.py
+++ b/turmericreel/model/server_crash.py
@@ -61,20 +61,60 @@
     content : ContentDigest
         Of the whole content, or from `part_digest`.
     expires_ms : int
-        Wall time until which the crash counts against the content.
+        Until when the crash counts against the content, in milliseconds on the
+        monotonic clock of the holder or in the times of the replicated log.
     refuted : bool
         Whether the process or the content was later proven sound.
+    revision : int
+        Increases when the crash is recorded again after it was refuted.
     """
 
     content: ContentDigest
     process: ServerProcess
     expires_ms: int
     refuted: bool = False
+    revision: int = 0
 
     def age_ms(self, *, now_ms: int) -> int:
         """Return the time since the crash was recorded, in milliseconds."""
         return now_ms + CRASH_RETENTION_MS - self.expires_ms
 
+    def report(self, *, now_ms: int) -> "CrashReport":
+        """Return the record for other instances, whose clocks differ."""
+        return CrashReport(
+            content=self.content,
+            process=self.process,
+            left_ms=max(self.expires_ms - now_ms, 0),
+            refuted=self.refuted,
+            revision=self.revision,
+        )
+
+
+class CrashReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A `ServerCrash` on its way to another instance.
+
+    Attributes
+    ----------
+    left_ms : int
+        Time for which the crash still counts, in milliseconds.
+    """
+
+    content: ContentDigest
+    process: ServerProcess
+    left_ms: int
+    refuted: bool = False
+    revision: int = 0
+
+    def record(self, *, now_ms: int) -> ServerCrash:
+        """Return the record by the clock of the receiver."""
+        return ServerCrash(
+            content=self.content,
+            process=self.process,
+            expires_ms=now_ms + min(self.left_ms, CRASH_RETENTION_MS),
+            refuted=self.refuted,
+            revision=self.revision,
+        )
+
 
 def process_of(server: RegisteredServer) -> ServerProcess:
     """Return the process that a registration describes."""
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -7,7 +7,7 @@
 from turmericreel.model.ids import BackendServerId, Incarnation, InstanceId, Revision
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
-from turmericreel.model.server_crash import ServerCrash, ServerProcess
+from turmericreel.model.server_crash import CrashReport, ServerProcess
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
 
@@ -147,7 +147,7 @@
 class ServerCrashes(RoutingMessage):
     """New or changed records of servers that ended under requests, or all of them."""
 
-    crashes: tuple[ServerCrash, ...]
+    crashes: tuple[CrashReport, ...]
 
 
 ToCoordinator = (
--- a/turmericreel/state/routing_state_cache.py
+++ b/turmericreel/state/routing_state_cache.py
@@ -21,7 +21,13 @@
 
 
 class RoutingState(msgspec.Struct, frozen=True, kw_only=True):
-    """State that a coordinator distributes to gateways; it may be outdated."""
+    """State that a coordinator distributes to gateways; it may be outdated.
+
+    Attributes
+    ----------
+    crashes : tuple of ServerCrash
+        Their times are those of the wall clock, as others end with the process.
+    """
 
     revision: Revision = Revision(0)
     document: bytes = b""
