Refuse a request that ends servers under several accounts for all of them

Crashes were counted by account, so that a request ended three servers for each account that sent it: all six in the new test, three now. A request that ends servers for one account may be sound for others, so crashes under one account, or at servers that ended under it, still count for that account only, and an answer to any account clears the others. The recorded key is now the content's digest with the account's beside it.

--- a/test/routing/test_content_quarantine.py
+++ b/test/routing/test_content_quarantine.py
@@ -19,11 +19,12 @@
 from turmericreel.decisions.sound_parts import SOUND_RETENTION_S
 from turmericreel.gateway.crash_guard import UNRESOLVED_RETENTION_S, CrashGuard
 from turmericreel.model.failures import FailureError, NotRun, NotRunReason
-from turmericreel.model.ids import ContentDigest, PromptPartId
+from turmericreel.model.ids import ClientAccountId, ContentDigest, PromptPartId
 from turmericreel.model.server_crash import (
     CrashReport,
     ServerCrash,
     ServerProcess,
+    content_of_account,
     part_digest,
 )
 from turmericreel.util.clock import ManualClock
@@ -266,6 +267,23 @@
     assert other.is_quarantined(POISON)
 
 
+def test_content_that_ends_servers_for_one_account_is_sound_for_others(fixture):
+    shared = ContentDigest("shared")
+    bad, bystander, sound = (
+        content_of_account(shared, ClientAccountId(name)) for name in "abc"
+    )
+    for name in ("s1", "s2", "s3"):
+        fixture.guard.record_lost_connection(bad, make_server(name))
+    fixture.guard.record_lost_connection(bystander, make_server("s1"))
+    assert fixture.guard.is_quarantined(bad)
+    assert not fixture.guard.is_quarantined(sound)
+    fixture.guard.record_lost_connection(bystander, make_server("s4"))
+    assert fixture.guard.is_quarantined(sound)
+    fixture.guard.record_completion(sound, status=200)
+    assert not fixture.guard.is_quarantined(sound)
+    assert fixture.guard.is_quarantined(bad)
+
+
 BAD, SYSTEM, RARE = (part_digest(PromptPartId(p)) for p in ("bad", "system", "rare"))
 
 
--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -6,7 +6,7 @@
 from gevent import joinall, sleep, spawn
 
 from test.routing.library import make_route
-from test.routing.small_system import small_system, stream_route, wait_until
+from test.routing.small_system import NAMES, small_system, stream_route, wait_until
 from turmericreel.decisions.content_quarantine import (
     HEARTBEAT_DELAY_S,
     MIN_HEARTBEAT_SPAN_S,
@@ -83,6 +83,17 @@
     assert 0 < count_ends(system) <= MAX_ENDS
 
 
+def test_request_that_ends_servers_for_several_accounts_is_refused_for_all(system):
+    accounts = {f"account-{n}": f"key-{n}" for n in range(2 * MAX_ENDS)}
+    system.submit(*ROUTES, revision=2, accounts=accounts)
+    key_header = NAMES.key.replace("-", "_")
+    for number, key in enumerate(accounts.values()):
+        options = {"attempt": f"attempt-{number}", "gateway_index": 0, key_header: key}
+        system.send("/safe/once/1", body=POISON, **options)
+        assert system.send("/safe/once/1", body=b"sound", **options) == 200
+    assert count_ends(system) == MAX_ENDS
+
+
 def test_request_that_ends_servers_is_not_sent_on_without_coordinators(system):
     for coordinator in system.coordinators:
         coordinator.stop()
--- a/turmericreel/decisions/content_quarantine.py
+++ b/turmericreel/decisions/content_quarantine.py
@@ -6,6 +6,9 @@
 gateways and coordinators keep the crashes of each content and part.  Records merge in
 any order, so one surviving process is enough to restore them.
 
+A content that ends servers for one client account may be sound for others.  Only
+crashes under several accounts count against it for all of them.
+
 The requests that a server runs when it ends are all suspects.  A crash is explained by
 a part under which more processes ended; it does not count against the others then.
 
@@ -26,6 +29,7 @@
     ServerCrash,
     ServerProcess,
     is_part,
+    shared_content,
 )
 
 MAX_CRASHES = 3
@@ -58,6 +62,8 @@
         Refuted crashes are kept until they expire, so that older copies of a record
         do not restore them.
     contents : dict of ServerProcess to set of ContentDigest
+    variants : dict of ContentDigest to set of ContentDigest
+        Contents by what those of several accounts have in common.
     earliest_refutation : dict of ServerProcess to float
         When a heartbeat is first known to be newer than the crash, in seconds on the
         monotonic clock.
@@ -67,6 +73,7 @@
     def __init__(self):
         self.crashes: dict[ContentDigest, dict[ServerProcess, ServerCrash]] = {}
         self.contents: dict[ServerProcess, set[ContentDigest]] = defaultdict(set)
+        self.variants: dict[ContentDigest, set[ContentDigest]] = defaultdict(set)
         self.earliest_refutation: dict[ServerProcess, float] = {}
         self.later_heartbeats: dict[ServerProcess, LaterHeartbeats] = {}
 
@@ -152,6 +159,19 @@
             for crash in counted
         )
 
+    def n_crashes_of_accounts(self, content: ContentDigest, *, now_ms: int) -> int:
+        """Return the number of crashes under a content of any account.
+
+        It is 0 while the crashes under one account explain all others.
+        """
+        variants = self.variants.get(shared_content(content), ())
+        crashed = [
+            {crash.process for crash in self._counted(variant, now_ms)}
+            for variant in variants
+        ]
+        processes = set().union(*crashed)
+        return 0 if processes in crashed else len(processes)
+
     def shares_all_crashes(
         self,
         content: ContentDigest,
@@ -168,7 +188,10 @@
 
     def retry_after_ms(self, content: ContentDigest, *, now_ms: int) -> int:
         """Return after how many milliseconds a refused content may be sent again."""
-        expiries = sorted(c.expires_ms for c in self._counted(content, now_ms))
+        variants = self.variants.get(shared_content(content), ())
+        expiries = sorted(
+            crash.expires_ms for v in variants for crash in self._counted(v, now_ms)
+        )
         newest_ms = expiries[-1] - CRASH_RETENTION_MS
         if now_ms - newest_ms < REFUTATION_DELAY_MS:
             return UNCONFIRMED_RETRY_AFTER_MS
@@ -212,6 +235,7 @@
             self._make_room()
         self.crashes.setdefault(crash.content, {})[crash.process] = crash
         self.contents[crash.process].add(crash.content)
+        self.variants[shared_content(crash.content)].add(crash.content)
         if not crash.refuted:
             self.earliest_refutation[crash.process] = now + HEARTBEAT_DELAY_S
             self.later_heartbeats.pop(crash.process, None)
@@ -253,6 +277,10 @@
         return sum(not crash.refuted for crash in self.crashes[content].values())
 
     def _drop(self, content: ContentDigest) -> None:
+        variants = self.variants[shared_content(content)]
+        variants.discard(content)
+        if not variants:
+            del self.variants[shared_content(content)]
         for process in self.crashes.pop(content):
             self.contents[process].discard(content)
             if not self.contents[process]:
--- a/turmericreel/gateway/application.py
+++ b/turmericreel/gateway/application.py
@@ -37,7 +37,9 @@
     NotRunReason,
     OutcomeUnknown,
 )
+from turmericreel.model.ids import ClientAccountId
 from turmericreel.model.routing import AccountKeys, Route
+from turmericreel.model.server_crash import content_of_account
 from turmericreel.util.clock import Clock
 
 REFUSAL_STATUS = {
@@ -213,8 +215,9 @@
             target=target,
             headers=end_to_end_headers(list(headers.items())),
             body=body,
-            content=content_digest(
-                f"{account_id or ''} {method} {target}".encode(), body or b""
+            content=content_of_account(
+                content_digest(f"{method} {target}".encode(), body or b""),
+                account_id or ClientAccountId(""),
             ),
             route=route,
             account=account_id,
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -29,6 +29,7 @@
     ServerProcess,
     is_part,
     process_of,
+    shared_content,
 )
 from turmericreel.util.clock import Clock
 
@@ -74,6 +75,8 @@
     ----------
     sound_parts : SoundParts
         Parts that were answered through this gateway.
+    sound_contents : SoundParts
+        Contents that were answered here for any account.
     n_running : Counter of ContentDigest
         Attempts in progress at this gateway, by content and by part.
     trials : set of ContentDigest
@@ -96,6 +99,7 @@
         self.clock = clock
         self.quarantine = ContentQuarantine()
         self.sound_parts = SoundParts()
+        self.sound_contents = SoundParts()
         self.n_running: Counter[ContentDigest] = Counter()
         self.trials: set[ContentDigest] = set()
         self.failed_trials: set[ContentDigest] = set()
@@ -145,8 +149,7 @@
         """Return whether no more copies of a content may be sent."""
         now_ms = self._now_ms()
         return any(
-            self.quarantine.n_unexplained(key, now_ms=now_ms) >= MAX_CRASHES
-            for key in (content, *parts)
+            self._n_crashes(key, now_ms) >= MAX_CRASHES for key in (content, *parts)
         )
 
     def n_quarantined(self) -> int:
@@ -155,6 +158,8 @@
 
     def record_completion(self, content: ContentDigest, *, status: int) -> None:
         """Record that an attempt got a complete answer with this status."""
+        now = self.clock.monotonic()
+        self.sound_contents.record_answer([shared_content(content)], now=now)
         refuted = self.quarantine.record_completion(content)
         self._log_refuted(refuted, CrashRefutation.ANSWER, status=status)
         self._report(refuted)
@@ -280,9 +285,19 @@
         return [key for key in keys if not self.sound_parts.is_sound(key, now=now)]
 
     def _is_refused(self, key: ContentDigest, now_ms: int) -> bool:
-        n_crashes = self.quarantine.n_unexplained(key, now_ms=now_ms)
+        n_crashes = self._n_crashes(key, now_ms)
         return bool(n_crashes) and n_crashes + self.n_running[key] >= MAX_CRASHES
 
+    def _n_crashes(self, key: ContentDigest, now_ms: int) -> int:
+        """Return the number of crashes that count against a content or part."""
+        n_crashes = self.quarantine.n_unexplained(key, now_ms=now_ms)
+        is_sound = self.sound_contents.is_sound(
+            shared_content(key), now=self.clock.monotonic()
+        )
+        if is_part(key) or is_sound:
+            return n_crashes
+        return max(n_crashes, self.quarantine.n_crashes_of_accounts(key, now_ms=now_ms))
+
     def _is_trial(
         self,
         refused: Sequence[ContentDigest],
@@ -352,7 +367,7 @@
             )
 
     def _refusal(self, key: ContentDigest, now_ms: int) -> FailureError:
-        n_crashes = self.quarantine.n_unexplained(key, now_ms=now_ms)
+        n_crashes = self._n_crashes(key, now_ms)
         retry_after_ms = BUSY_RETRY_AFTER_MS
         if n_crashes >= MAX_CRASHES:
             retry_after_ms = self.quarantine.retry_after_ms(key, now_ms=now_ms)
--- a/turmericreel/model/server_crash.py
+++ b/turmericreel/model/server_crash.py
@@ -7,6 +7,7 @@
 
 from turmericreel.model.ids import (
     BackendServerId,
+    ClientAccountId,
     ContentDigest,
     Incarnation,
     PromptPartId,
@@ -14,6 +15,7 @@
 from turmericreel.model.registered_server import RegisteredServer
 
 PART_PREFIX = "part:"
+ACCOUNT_SEPARATOR = "@"
 # How long a crash counts against a content.
 CRASH_RETENTION_MS = 600_000
 # Clients choose the ids of parts; longer ones are hashed.
@@ -30,10 +32,22 @@
 def part_digest(part: PromptPartId) -> ContentDigest:
     """Return the key under which the crashes of a prompt part are recorded."""
     if len(part) > MAX_READABLE_PART:
-        part = PromptPartId(xxhash.xxh128_hexdigest(part.encode()))
+        part = PromptPartId(_hash(part))
     return ContentDigest(PART_PREFIX + part)
 
 
+def content_of_account(
+    shared: ContentDigest, account: ClientAccountId
+) -> ContentDigest:
+    """Return the key under which the crashes of one account's content are recorded."""
+    return ContentDigest(f"{shared}{ACCOUNT_SEPARATOR}{_hash(account)}")
+
+
+def shared_content(content: ContentDigest) -> ContentDigest:
+    """Return the digest that a content has in common with those of other accounts."""
+    return ContentDigest(content.partition(ACCOUNT_SEPARATOR)[0])
+
+
 def is_part(content: ContentDigest) -> bool:
     """Return whether a key stands for a prompt part, not for a whole content."""
     return content.startswith(PART_PREFIX)
@@ -119,3 +133,7 @@
 def process_of(server: RegisteredServer) -> ServerProcess:
     """Return the process that a registration describes."""
     return ServerProcess(server.server, server.incarnation)
+
+
+def _hash(text: str) -> str:
+    return xxhash.xxh128_hexdigest(text.encode())
