Let an answer clear a content only for the version that gave it

While two versions of a service run, a content may end the servers of one and be answered by the other. Each such answer refuted all its crashes, so that the fatal version lost servers without a limit. Crash records now name the version. Found by reading; the new test counted no crash before. Three crashes still refuse the content for all versions.

--- a/test/routing/test_content_quarantine.py
+++ b/test/routing/test_content_quarantine.py
@@ -279,11 +279,22 @@
     assert not fixture.guard.is_quarantined(sound)
     fixture.guard.record_lost_connection(bystander, make_server("s4"))
     assert fixture.guard.is_quarantined(sound)
-    fixture.guard.record_completion(sound, status=200)
+    fixture.guard.record_completion(sound, make_server(), status=200)
     assert not fixture.guard.is_quarantined(sound)
     assert fixture.guard.is_quarantined(bad)
 
 
+def test_answer_of_another_version_does_not_clear_a_content(fixture):
+    for name in ("s1", "s2", "s3"):
+        fixture.guard.record_lost_connection(POISON, make_server(name, version="v1"))
+        other = make_server("s4", version="v2")
+        fixture.guard.record_completion(POISON, other, status=200)
+    assert fixture.n_crashes() == MAX_CRASHES
+    same = make_server("s5", version="v1")
+    fixture.guard.record_completion(POISON, same, status=200)
+    assert fixture.n_crashes() == 0
+
+
 BAD, SYSTEM, RARE = (part_digest(PromptPartId(p)) for p in ("bad", "system", "rare"))
 
 
--- a/turmericreel/decisions/content_quarantine.py
+++ b/turmericreel/decisions/content_quarantine.py
@@ -23,7 +23,7 @@
 import xxhash
 from msgspec.structs import replace
 
-from turmericreel.model.ids import ContentDigest, InstanceId
+from turmericreel.model.ids import ContentDigest, InstanceId, VersionId
 from turmericreel.model.server_crash import (
     CRASH_RETENTION_MS,
     ServerCrash,
@@ -41,6 +41,7 @@
 # Crashes that are older than this were not refuted by any heartbeat.
 REFUTATION_DELAY_MS = 6_000
 UNCONFIRMED_RETRY_AFTER_MS = 2_000
+ANY_VERSION = VersionId("")
 # Bounds the memory, and the message that a gateway gets when it connects.
 MAX_CONTENTS = 1_024
 
@@ -99,6 +100,7 @@
         *,
         now: float,
         now_ms: int,
+        version: VersionId = ANY_VERSION,
     ) -> list[ServerCrash]:
         """Record that a process ended while it ran a content; return the new record."""
         known = self.crashes.get(content, {}).get(process)
@@ -114,12 +116,24 @@
             process=process,
             expires_ms=now_ms + CRASH_RETENTION_MS,
             revision=revision,
+            version=version,
         )
         return self.merge([crash], now=now, now_ms=now_ms)
 
-    def record_completion(self, content: ContentDigest) -> list[ServerCrash]:
-        """Refute all crashes of a content that ran to its end; return the changes."""
-        return self._refute(list(self.crashes.get(content, {}).values()))
+    def record_completion(
+        self, content: ContentDigest, *, version: VersionId = ANY_VERSION
+    ) -> list[ServerCrash]:
+        """Refute the crashes of a content that ran to its end; return the changes.
+
+        Those of other versions are kept, as versions may differ in what ends them.
+        """
+        return self._refute(
+            [
+                crash
+                for crash in self.crashes.get(content, {}).values()
+                if ANY_VERSION in (version, crash.version) or crash.version == version
+            ]
+        )
 
     def record_heartbeat(
         self, process: ServerProcess, *, now: float
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -225,7 +225,7 @@
             return
         if answer.status == OK_STATUS:
             self._record_answered_parts()
-        self.guard.record_completion(request.content, status=answer.status)
+        self.guard.record_completion(request.content, self.server, status=answer.status)
 
     def _log_connection_lost(self) -> None:
         log_message(
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -156,11 +156,13 @@
         """Return the number of contents that are refused."""
         return self.quarantine.n_quarantined(now_ms=self._now_ms())
 
-    def record_completion(self, content: ContentDigest, *, status: int) -> None:
+    def record_completion(
+        self, content: ContentDigest, server: RegisteredServer, *, status: int
+    ) -> None:
         """Record that an attempt got a complete answer with this status."""
         now = self.clock.monotonic()
         self.sound_contents.record_answer([shared_content(content)], now=now)
-        refuted = self.quarantine.record_completion(content)
+        refuted = self.quarantine.record_completion(content, version=server.version)
         self._log_refuted(refuted, CrashRefutation.ANSWER, status=status)
         self._report(refuted)
 
@@ -180,7 +182,7 @@
     ) -> None:
         """Record that a server closed or reset the connection of an attempt."""
         self.failed_trials |= self.trials.intersection(parts)
-        self._record_crashes([content, *self._suspected(parts)], process_of(server))
+        self._record_crashes([content, *self._suspected(parts)], server)
 
     def record_unresolved(
         self,
@@ -223,7 +225,7 @@
         now = self.clock.monotonic()
         contents = self.unresolved.pop(process_of(server), {})
         pending = [key for key, attempt in contents.items() if now < attempt.deadline]
-        self._record_crashes(self._suspected(pending), process_of(server))
+        self._record_crashes(self._suspected(pending), server)
 
     def record_later_answer(
         self, server: RegisteredServer, *, opened_at: float
@@ -248,7 +250,7 @@
             self.record_answered_parts(parts)
         for key in answered:
             if not is_part(key):
-                self.record_completion(key, status=OK_STATUS)
+                self.record_completion(key, server, status=OK_STATUS)
 
     def reports(self) -> tuple[CrashReport, ...]:
         """Return all records for other instances."""
@@ -315,14 +317,18 @@
         )
 
     def _record_crashes(
-        self, keys: Iterable[ContentDigest], process: ServerProcess
+        self, keys: Iterable[ContentDigest], server: RegisteredServer
     ) -> None:
         now, now_ms = self.clock.monotonic(), self._now_ms()
         changed = [
             crash
             for key in keys
             for crash in self.quarantine.record_crash(
-                key, process, now=now, now_ms=now_ms
+                key,
+                process_of(server),
+                now=now,
+                now_ms=now_ms,
+                version=server.version,
             )
         ]
         self._log_quarantined(changed)
--- a/turmericreel/model/server_crash.py
+++ b/turmericreel/model/server_crash.py
@@ -11,6 +11,7 @@
     ContentDigest,
     Incarnation,
     PromptPartId,
+    VersionId,
 )
 from turmericreel.model.registered_server import RegisteredServer
 
@@ -81,6 +82,8 @@
         Whether the process or the content was later proven sound.
     revision : int
         Increases when the crash is recorded again after it was refuted.
+    version : VersionId
+        Version that the process ran; empty if it is not known.
     """
 
     content: ContentDigest
@@ -88,6 +91,7 @@
     expires_ms: int
     refuted: bool = False
     revision: int = 0
+    version: VersionId = VersionId("")
 
     def age_ms(self, *, now_ms: int) -> int:
         """Return the time since the crash was recorded, in milliseconds."""
@@ -101,6 +105,7 @@
             left_ms=max(self.expires_ms - now_ms, 0),
             refuted=self.refuted,
             revision=self.revision,
+            version=self.version,
         )
 
 
@@ -118,6 +123,7 @@
     left_ms: int
     refuted: bool = False
     revision: int = 0
+    version: VersionId = VersionId("")
 
     def record(self, *, now_ms: int) -> ServerCrash:
         """Return the record by the clock of the receiver."""
@@ -127,6 +133,7 @@
             expires_ms=now_ms + min(self.left_ms, CRASH_RETENTION_MS),
             refuted=self.refuted,
             revision=self.revision,
+            version=self.version,
         )
 
 
