--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -94,6 +94,28 @@
     assert count_ends(system) == MAX_ENDS
 
 
+@pytest.mark.parametrize("kind", ["safe", "stream"])
+def test_request_that_ends_servers_after_its_client_left_is_refused(system, kind):
+    for server in system.servers.values():
+        server.end_delay_s = 0.1
+    for number in range(2 * MAX_ENDS):
+        with system.connect() as client:
+            client.sendall(
+                f"POST /{kind}/once/1 HTTP/1.1\r\nHost: example\r\n"
+                f"{NAMES.attempt_id}: left-{number}\r\n"
+                f"Content-Length: {len(POISON)}\r\n\r\n".encode()
+                + POISON
+            )
+            sleep(0.05)
+        sleep(0.2)
+        wait_until(
+            lambda: not any(server.is_down for server in system.servers.values()),
+            "the servers to start again",
+        )
+        sleep(0.1)
+    assert 0 < count_ends(system) <= MAX_ENDS
+
+
 def test_request_that_ends_servers_is_not_sent_on_without_coordinators(system):
     for coordinator in system.coordinators:
         coordinator.stop()
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -115,6 +115,8 @@
     answers_before_end : bool
         Whether a request with a fatal body gets a whole answer, without a length,
         before the server ends.
+    end_delay_s : float
+        Time for which a request with a fatal body runs before the server ends.
     is_leaving : bool
         Whether all answers say that the server is about to leave.
     pause_s : float
@@ -158,6 +160,7 @@
         self.last_used_by_port: dict[str, float] = {}
         self.fatal_bodies: set[bytes] = set()
         self.answers_before_end = False
+        self.end_delay_s = 0.0
         self.is_leaving = False
         self.pause_s = 1.0
         self.pause_deadline = 0.0
@@ -259,6 +262,8 @@
         is_stream = environ.get("HTTP_ACCEPT") == EVENT_STREAM
         is_fatal = body in self.fatal_bodies
         fatal_part = self._fatal_part(environ)
+        if is_fatal:
+            sleep(self.end_delay_s)
         if is_fatal and self.answers_before_end:
             with contextlib.suppress(BrokenPipeError):
                 self._send_unframed(
