Serve sound prompt parts again after servers ended under whole requests

A request that ends servers makes suspects of the prompt parts of all requests that run beside it. One content that explains all crashes of a part now does, unless several contents have ended servers: then the part is the cause they share. A part that nothing explains is tried again 5, 20, 80 and 320 s after its last crash.

--- a/test/routing/test_content_quarantine.py
+++ b/test/routing/test_content_quarantine.py
@@ -316,6 +316,31 @@
     assert elsewhere.n_unexplained(RARE, now_ms=NOW_MS) == 3
 
 
+def test_part_of_one_content_that_ends_servers_is_not_refused():
+    quarantine = quarantine_of(system="abc", bad="ab")
+    for name in "abc":
+        quarantine.record_crash(POISON, process(name), now=0.0, now_ms=NOW_MS)
+    assert quarantine.n_unexplained(SYSTEM, now_ms=NOW_MS) == 0
+    assert quarantine.n_unexplained(POISON, now_ms=NOW_MS) == MAX_CRASHES
+    quarantine.record_crash(SYSTEM, process("d"), now=0.0, now_ms=NOW_MS)
+    assert quarantine.n_unexplained(SYSTEM, now_ms=NOW_MS) == MAX_CRASHES + 1
+
+
+def test_part_that_no_answer_clears_is_tried_again_less_and_less_often():
+    quarantine = ContentQuarantine()
+    now_ms, trials = 0, []
+    for n in range(MAX_CRASHES + 3):
+        quarantine.record_crash(SYSTEM, process(f"s{n}"), now=0.0, now_ms=now_ms)
+        if n + 1 < MAX_CRASHES:
+            assert not quarantine.is_trial_due(SYSTEM, now_ms=now_ms + 4_000)
+            continue
+        began_ms = now_ms
+        while not quarantine.is_trial_due(SYSTEM, now_ms=now_ms):
+            now_ms += 1_000
+        trials.append((now_ms - began_ms) // 1_000)
+    assert trials == [5, 20, 80, 320]
+
+
 def test_two_parts_that_ended_different_servers_both_count():
     quarantine = quarantine_of(bad="abcde", rare="avwx")
     assert quarantine.n_unexplained(RARE, now_ms=NOW_MS) == 3
--- a/turmericreel/decisions/content_quarantine.py
+++ b/turmericreel/decisions/content_quarantine.py
@@ -10,14 +10,16 @@
 crashes under several accounts count against it for all of them.
 
 The requests that a server runs when it ends are all suspects.  A crash is explained by
-a part under which more processes ended; it does not count against the others then.
+a part under which more processes ended; it does not count against the others then.  A
+content explains the crashes of a part if it explains all of them.  A part that nothing
+explains or clears is tried again after a time that grows with its crashes.
 
 A broken connection counts as a crash until the server process is seen alive afterwards,
 because confirming a crash takes longer than a client needs to send the request again.
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -41,6 +43,9 @@
 # Crashes that are older than this were not refuted by any heartbeat.
 REFUTATION_DELAY_MS = 6_000
 UNCONFIRMED_RETRY_AFTER_MS = 2_000
+# Time from the last crash of a part to its next trial; each further one takes longer.
+FIRST_TRIAL_DELAY_MS = 5_000
+TRIAL_DELAY_FACTOR = 4
 ANY_VERSION = VersionId("")
 # Bounds the memory, and the message that a gateway gets when it connects.
 MAX_CONTENTS = 1_024
@@ -165,6 +170,8 @@
     def n_unexplained(self, content: ContentDigest, *, now_ms: int) -> int:
         """Return the number of crashes that no quarantined part explains."""
         counted = self._counted(content, now_ms)
+        if is_part(content) and self._one_content_explains(counted, now_ms):
+            return 0
         return sum(
             not any(
                 self.n_crashes(part, now_ms=now_ms) > len(counted)
@@ -186,6 +193,16 @@
         processes = set().union(*crashed)
         return 0 if processes in crashed else len(processes)
 
+    def is_trial_due(self, part: ContentDigest, *, now_ms: int) -> bool:
+        """Return whether a refused part may be tried, as its last crash is long ago."""
+        counted = self._counted(part, now_ms)
+        if len(counted) < MAX_CRASHES:
+            return False
+        newest_ms = max(crash.expires_ms for crash in counted) - CRASH_RETENTION_MS
+        n_trials = len(counted) - MAX_CRASHES
+        delay_ms = FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR**n_trials
+        return now_ms >= newest_ms + delay_ms
+
     def shares_all_crashes(
         self,
         content: ContentDigest,
@@ -270,16 +287,33 @@
             if not crash.refuted and crash.expires_ms > now_ms
         ]
 
+    def _one_content_explains(
+        self, crashes: Sequence[ServerCrash], now_ms: int
+    ) -> bool:
+        """Return whether all these processes ended under one quarantined content.
+
+        Several contents that ended servers are explained by the part they share.
+        """
+        processes = {crash.process for crash in crashes}
+        suspects = self.contents.get(next(iter(processes)), ()) if processes else ()
+        return any(
+            not is_part(suspect)
+            and self.n_crashes(suspect, now_ms=now_ms) >= MAX_CRASHES
+            and processes <= {c.process for c in self._counted(suspect, now_ms)}
+            for suspect in suspects
+        )
+
     def _quarantined_parts(
         self, process: ServerProcess, now_ms: int
     ) -> set[ContentDigest]:
-        """Return the parts with enough crashes, among them one of this process."""
+        """Return the parts that may have ended a process, and enough others."""
         return {
             content
             for content in self.contents.get(process, ())
             if is_part(content)
             and not self.crashes[content][process].refuted
-            and self.n_crashes(content, now_ms=now_ms) >= MAX_CRASHES
+            and len(counted := self._counted(content, now_ms)) >= MAX_CRASHES
+            and not self._one_content_explains(counted, now_ms)
         }
 
     def _make_room(self) -> None:
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -1,8 +1,9 @@
 """Refuses requests that end servers, and reports servers that end under requests.
 
 Every attempt at a server, whether first, retried or resumed, is admitted here.  A
-quarantined part that shares all its crashes with other parts may be innocent: one
-gateway then admits one request at a time that has it without the others.
+quarantined part that shares all its crashes with other parts, or had its last crash
+long ago, may be innocent: one gateway then admits one request at a time that has it
+without the others.
 """
 
 from collections import Counter
@@ -310,12 +311,19 @@
         return all(
             is_part(key)
             and not self.n_running[key]
-            and key not in self.failed_trials
             and self.tries_part(key)
-            and self.quarantine.shares_all_crashes(key, parts, now_ms=now_ms)
+            and self._is_trial_worthwhile(key, parts, now_ms)
             for key in refused
         )
 
+    def _is_trial_worthwhile(
+        self, key: ContentDigest, parts: Sequence[ContentDigest], now_ms: int
+    ) -> bool:
+        if self.quarantine.is_trial_due(key, now_ms=now_ms):
+            return True
+        shared = self.quarantine.shares_all_crashes(key, parts, now_ms=now_ms)
+        return shared and key not in self.failed_trials
+
     def _record_crashes(
         self, keys: Iterable[ContentDigest], server: RegisteredServer
     ) -> None:
--- a/turmericreel/state/tables/part_quarantine.py
+++ b/turmericreel/state/tables/part_quarantine.py
@@ -40,7 +40,7 @@
         """Return until when requests with these parts are refused; None if admitted.
 
         A refused part that shares all its crashes with parts that the request does not
-        have is tried, one request at a time.
+        have, or had its last crash long ago, is tried, one request at a time.
         """
         refused = [p for p in parts if self._is_refused(p, now_ms)]
         if all(self._may_try(part, parts, now_ms) for part in refused):
@@ -92,5 +92,7 @@
     def _may_try(
         self, part: ContentDigest, parts: Sequence[ContentDigest], now_ms: int
     ) -> bool:
-        shared = self.quarantine.shares_all_crashes(part, parts, now_ms=now_ms)
-        return shared and not self.n_running[part]
+        if self.n_running[part]:
+            return False
+        is_due = self.quarantine.is_trial_due(part, now_ms=now_ms)
+        return is_due or self.quarantine.shares_all_crashes(part, parts, now_ms=now_ms)
