Send errors without a run in the soak, and reserve its ports

The soak's servers now answer some requests with errors before they run them, and some end after a whole answer. Answers are checked for the id of their request.

--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -2,8 +2,9 @@
 
 Processes are killed, paused, stopped and restarted by signals and lose their disks,
 connections to servers are delayed, reset and silenced in one or both directions, and
-servers refuse, fail and break off answers, send without an end or a length, end under
-some requests, and say that they leave or want a pause.  All coordinators are lost
+servers refuse, fail and break off answers, send errors without running the request,
+send without an end or a length, end under some requests, at times after a whole answer,
+and say that they leave or want a pause.  All coordinators are lost
 together at times.  The faults overlap, while clients, operators and servers continue
 over persistent connections.  The invariants are in `soak_traffic`; in addition,
 requests must succeed again within `MAX_RECOVERY_S` of the last fault.
@@ -14,14 +15,14 @@
 import turmericreel.util.event_loop  # noqa: F401, I001
 
 import argparse
-import os
 import sys
 import tempfile
 from contextlib import suppress
 from itertools import count
 from pathlib import Path
-from random import Random
+from random import Random, SystemRandom
 from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
+from socket import socket
 from time import monotonic
 
 from gevent import joinall, sleep, spawn
@@ -47,6 +48,7 @@
 from turmericreel.fakes.routed_server import Misbehaviour, RoutedServer
 from turmericreel.platform.headers import PLATFORM_HEADERS
 
+PORT_LOCK_HOST = "127.0.3.254"
 N_COORDINATORS_WITH_DISK = 5
 N_COORDINATORS_WITHOUT_DISK = 1
 # The platform's settings name three seed nodes as well.
@@ -59,6 +61,9 @@
 # Time within which requests must succeed again after the last fault.
 MAX_RECOVERY_S = 12.0
 RESTART_CHECK_INTERVAL_S = 0.5
+# Of the faults of servers, the errors that they send without running the request.
+UNRUN_FRACTION = 0.2
+UNRUN_STATUSES = (404, 429, 500, 502, 503)
 # Of the faults of servers, those that end the server whatever it runs.
 END_FRACTION = 0.1
 # Of the periods in which a server wants no requests, those before it leaves.
@@ -88,8 +93,7 @@
         self.rng = Random(seed)
         self.folder = folder
         names = ("frontend", "readiness", "control", "directory")
-        # Below the ephemeral ports, which outgoing connections may occupy.
-        first_port = Random(os.getpid()).randrange(10_000, 30_000, 20)
+        self.port_lock, first_port = _reserve_ports()
         self.ports = {name: first_port + n for n, name in enumerate(names)}
         self.first_internal_port = first_port + len(names)
         hosts = [
@@ -131,6 +135,7 @@
             server.fatal_bodies.add(POISON)
             server.fatal_parts.update(FATAL_PARTS)
             server.restart_delay_s = self.rng.uniform(0.2, 1.5)
+            server.answers_before_end = self.rng.random() < 0.3
             server.start()
             proxy = LoopbackProxy(target=server.address)
             proxy.start()
@@ -162,6 +167,7 @@
                 process.kill()
             for stand_in in self.servers + self.proxies:
                 stand_in.stop()
+            self.port_lock.close()
         return self.findings
 
     def _process(self, program: str, host: str, *, has_disk: bool) -> PlatformProcess:
@@ -252,6 +258,8 @@
             server = self.rng.choice(self.servers)
             if self.rng.random() < END_FRACTION:
                 self._end_server(server)
+            elif self.rng.random() < UNRUN_FRACTION:
+                server.unrun_statuses.append(self.rng.choice(UNRUN_STATUSES))
             elif not server.misbehaviours:
                 server.misbehaviours.append(self.rng.choice(MISBEHAVIOURS))
 
@@ -358,6 +366,23 @@
             sleep(0.05)
 
 
+def _reserve_ports() -> tuple[socket, int]:
+    """Return the first of 20 ports, and a socket that reserves them while it is open.
+
+    Runs at the same time use the same addresses.  The ports are below the ephemeral
+    ones, which outgoing connections may occupy.
+    """
+    rng = SystemRandom()
+    while True:
+        port = rng.randrange(10_000, 30_000, 20)
+        lock = socket()
+        try:
+            lock.bind((PORT_LOCK_HOST, port))
+            return lock, port
+        except OSError:
+            lock.close()
+
+
 def main() -> None:
     """Run one seed, print the findings and exit with 1 if there is a fault."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -75,10 +75,17 @@
 
 
 class Caller:
-    """HTTP caller that keeps its connections open until they fail."""
+    """HTTP caller that keeps its connections open until they fail.
+
+    Attributes
+    ----------
+    answered_id : str or None
+        Attempt id in the last answer.
+    """
 
     def __init__(self):
         self.clients: dict[str, HTTPClient] = {}
+        self.answered_id: str | None = None
 
     def call(
         self, address: str, method: str, path: str, *, body: bytes = b"", headers=None
@@ -97,6 +104,7 @@
         try:
             answer = client.request(method, path, body=body, headers=headers or {})
             data = bytes(answer.read())
+            self.answered_id = answer.get(PLATFORM_HEADERS.attempt_id)
         except NETWORK_ERRORS:
             self.clients.pop(address).close()
             raise
@@ -242,6 +250,10 @@
             )
         except NETWORK_ERRORS:
             return "no answer"
+        if self.caller.answered_id != attempt_id:
+            self.findings.faults.append(
+                f"{attempt_id} got {status} of {self.caller.answered_id}"
+            )
         if status in REFUSAL_STATUSES:
             self.findings.refused.add(attempt_id)
         if status == 200:
