Log the rate limits that servers name

Servers name the requests a second that they take from all gateways in a header that nothing read and no log line showed. No decision depends on it yet.

--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -158,6 +158,7 @@
     ) -> None:
         """Record that a server is leaving, or asks for a pause."""
         process = process_of(server)
+        self._log_rate_limit(server, answer)
         if answer.header(self.names.leaving) == LEAVING:
             self.chooser.record_leaving([process])
         retry_after = answer.header("Retry-After")
@@ -176,6 +177,18 @@
                 process, pause_s=pause_s, now=self.clock.monotonic()
             )
 
+    def _log_rate_limit(
+        self, server: RegisteredServer, answer: ForwardedAnswer
+    ) -> None:
+        text = answer.header(self.names.rate_limit)
+        if text:
+            log_message(
+                "gateway:rate_limit",
+                server=server.server,
+                incarnation=server.incarnation,
+                named=text[:MAX_LOGGED_HEADER],
+            )
+
     def _record_answer(
         self,
         request: ClientRequest,
--- a/turmericreel/gateway/header_names.py
+++ b/turmericreel/gateway/header_names.py
@@ -25,6 +25,9 @@
         Set by a server that did not run the request.
     leaving : str
         Set by a server that is about to leave, in all its answers.
+    rate_limit : str
+        Requests a second that a server takes from all gateways together; set in all its
+        answers while it applies.
     load : str
         Running requests, waiting requests and slots of a server, comma-separated.
     model : str
@@ -53,6 +56,7 @@
     server_id: str = "Turmericreel-Server-Id"
     not_run: str = "Turmericreel-Refused"
     leaving: str = "Turmericreel-Leaving"
+    rate_limit: str = "Turmericreel-Rate-Limit"
     load: str = "Turmericreel-Load"
     model: str = "Turmericreel-Wanted-Model"
     any_model: str = "*"
--- a/turmericreel/platform/headers.py
+++ b/turmericreel/platform/headers.py
@@ -11,6 +11,7 @@
     server_id="Turmericreel-Instance-Id",
     not_run="Turmericreel-Not-Executed",
     leaving="Server-Leaving",
+    rate_limit="Server-Limit",
     load="Turmericreel-Backend-Load",
     model="Turmericreel-Model",
     confidence="Turmericreel-Confidence",
