--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -117,6 +117,9 @@
         before the server ends.
     end_delay_s : float
         Time for which a request with a fatal body runs before the server ends.
+    rate_limit : str
+        Requests a second that all answers name as the server's limit; empty for none.
+        It ends with the process.
     is_leaving : bool
         Whether all answers say that the server is about to leave.
     pause_s : float
@@ -161,6 +164,7 @@
         self.fatal_bodies: set[bytes] = set()
         self.answers_before_end = False
         self.end_delay_s = 0.0
+        self.rate_limit = ""
         self.is_leaving = False
         self.pause_s = 1.0
         self.pause_deadline = 0.0
@@ -224,6 +228,7 @@
                 self.born_ms = time_ns() // 1_000_000
                 self.is_down = False
                 self.is_leaving = False
+                self.rate_limit = ""
                 self.on_restart()
                 return
             except OSError:
@@ -240,6 +245,8 @@
         headers += [(self.names.load, "1,0,4"), ("X-Served-By", self.server)]
         if self.is_leaving:
             headers.append((self.names.leaving, "1"))
+        if self.rate_limit:
+            headers.append((self.names.rate_limit, self.rate_limit))
         fault = self.misbehaviours.popleft() if self.misbehaviours else None
         pause_s = self.pause_deadline - monotonic()
         if fault is Misbehaviour.PAUSE:
