Keep the rates that servers name over all gateways together

Callers saw answers late and cut off while servers in need got more than they take: nothing read the limit, and no gateway knows what the others send. The limit belongs to one server process and is spent by all gateways, so the leading coordinator now grants single requests out of it: first to gateways where a request waits, then ahead of time to those with much traffic. A grant is valid for a second, so at most five seconds' worth reach a server within four. Without a leader each gateway keeps to an equal share.

--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -13,6 +13,7 @@
 from msgspec.structs import replace
 
 from turmericreel.decisions.content_quarantine import ContentQuarantine
+from turmericreel.decisions.rate_limits import RateGrants
 from turmericreel.decisions.server_health import ServerHealth
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
@@ -25,6 +26,7 @@
     ServerProcess,
     process_of,
 )
+from turmericreel.model.server_rate import RateGrant
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
 from turmericreel.protocols.routing_messages import (
@@ -105,6 +107,7 @@
         self.health = ServerHealth()
         self.suspended: set[BackendServerId] = set()
         self.quarantine = ContentQuarantine()
+        self.rates = RateGrants()
         self.work_sent = False
         self.routing_pending = False
         self.rollouts_pending = False
@@ -228,6 +231,7 @@
             entry.work_ms = work.work_ms
             entry.leaving = work.leaving
             self.health.record_report(instance, work.outcomes, now=self.now())
+            self.rates.record_report(instance, work.rates, now=self.now())
 
     def remove_gateway(self, instance: InstanceId, session: Session) -> None:
         """Remove a gateway whose connection ended."""
@@ -316,11 +320,12 @@
         return tuple(sorted({s for e in entries for s in e.status.sessions}))
 
     def distribute_work(self) -> None:
-        """Send all gateways the pending work by server, and who is leaving.
+        """Send all gateways the pending work, the leaving servers and rate grants.
 
         Gateways report to the leader, so only its sums are complete.
         """
-        if self.heartbeat().leader not in (None, self.instance):
+        beat = self.heartbeat()
+        if beat.leader not in (None, self.instance):
             return
         total: dict[BackendServerId, float] = {}
         for entry in self.gateways.values():
@@ -328,12 +333,24 @@
                 total[server] = total.get(server, 0.0) + work_ms
         suspended = self._update_suspended()
         leaving = tuple({p for e in self.gateways.values() for p in e.leaving})
-        has_content = bool(total or suspended or leaving)
-        if has_content or self.work_sent:
-            self.work_sent = has_content
-            self._send_to_gateways(
-                ServerWork(work_ms=total, suspended=suspended, leaving=leaving)
-            )
+        # Without a leader, several coordinators would grant the same requests.
+        grants = self._grant_rates() if beat.leader == self.instance else {}
+        has_content = bool(total or suspended or leaving or grants)
+        if not has_content and not self.work_sent:
+            return
+        self.work_sent = has_content
+        work = ServerWork(work_ms=total, suspended=suspended, leaving=leaving)
+        for instance, entry in list(self.gateways.items()):
+            rates = grants.get(instance, ())
+            message = replace(work, rates=rates, term=beat.term) if rates else work
+            entry.session.send(message)
+
+    def _grant_rates(self) -> dict[InstanceId, tuple[RateGrant, ...]]:
+        if not self.rates.known.limits:
+            return {}
+        servers = self.registry.servers.values()
+        self.rates.drop_unregistered({process_of(s) for s in servers if s.is_usable})
+        return self.rates.grant(self.gateways, now=self.now())
 
     def _update_suspended(self) -> tuple[BackendServerId, ...]:
         usable = (s for s in self.registry.servers.values() if s.is_usable)
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 
 from turmericreel.decisions.model_choice import ModelChoice, Pressure
+from turmericreel.decisions.rate_limits import parse_rate
 from turmericreel.decisions.server_availability import parse_pause_s
 from turmericreel.entry.server_connections import ServerConnections
 from turmericreel.gateway.attempts import (
@@ -37,6 +38,7 @@
 # under pressure. A server that takes longer holds the request without running it.
 HEADER_TIMEOUT_FACTOR = 2.0
 UNAVAILABLE_STATUS = 503
+MISDIRECTED_STATUS = 421
 LEAVING = "1"
 MAX_LOGGED_HEADER = 64
 
@@ -97,6 +99,7 @@
         """
         self.guard.begin_attempt(request.content, request.part_digests)
         now = self.clock.monotonic()
+        self.chooser.rates.take(process_of(server), now=now)
         exchange = ServerExchange(
             request=request,
             server=server,
@@ -156,9 +159,9 @@
     def _record_availability(
         self, server: RegisteredServer, answer: ForwardedAnswer
     ) -> None:
-        """Record that a server is leaving, or asks for a pause."""
+        """Record that a server is leaving, asks for a pause or names a limit."""
         process = process_of(server)
-        self._log_rate_limit(server, answer)
+        self._record_rate(server, answer)
         if answer.header(self.names.leaving) == LEAVING:
             self.chooser.record_leaving([process])
         retry_after = answer.header("Retry-After")
@@ -177,17 +180,22 @@
                 process, pause_s=pause_s, now=self.clock.monotonic()
             )
 
-    def _log_rate_limit(
-        self, server: RegisteredServer, answer: ForwardedAnswer
-    ) -> None:
+    def _record_rate(self, server: RegisteredServer, answer: ForwardedAnswer) -> None:
+        """Record the limit in an answer, or that there is none any more."""
+        if answer.status == MISDIRECTED_STATUS:
+            # Another server answered at this address.
+            return
         text = answer.header(self.names.rate_limit)
-        if text:
+        rate = parse_rate(text) if text else None
+        if text and rate is None:
             log_message(
-                "gateway:rate_limit",
+                "gateway:rate_limit_invalid",
                 server=server.server,
                 incarnation=server.incarnation,
                 named=text[:MAX_LOGGED_HEADER],
             )
+            return
+        self.chooser.record_rate(server, rate, text=text[:MAX_LOGGED_HEADER])
 
     def _record_answer(
         self,
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -218,6 +218,7 @@
             work_ms=self.chooser.work.report(),
             outcomes=self.chooser.loads.collect_outcomes(),
             leaving=self.chooser.leaving_servers(),
+            rates=self.chooser.rates.report(now=self.clock.monotonic()),
         )
 
     def _sessions_to_bind(self) -> tuple[int, ...]:
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -8,6 +8,7 @@
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
 from turmericreel.model.server_crash import CrashReport, ServerProcess
+from turmericreel.model.server_rate import RateGrant, RateReport
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
 
@@ -55,11 +56,15 @@
         Outcomes of the attempts since the last message.
     leaving : tuple of ServerProcess
         Server processes that are about to leave.
+    rates : tuple of RateReport
+        Limits of server processes, and the requests that wanted them since the last
+        message.
     """
 
     work_ms: dict[BackendServerId, float]
     outcomes: dict[BackendServerId, ServerOutcomes] = {}
     leaving: tuple[ServerProcess, ...] = ()
+    rates: tuple[RateReport, ...] = ()
 
 
 class ServerWork(RoutingMessage):
@@ -73,11 +78,17 @@
         Servers that get no requests for now because they fail.
     leaving : tuple of ServerProcess
         Server processes that are about to leave.
+    rates : tuple of RateGrant
+        Limits of server processes, and the requests that the receiver may send.
+    term : int
+        Term of the leader that granted them.
     """
 
     work_ms: dict[BackendServerId, float]
     suspended: tuple[BackendServerId, ...] = ()
     leaving: tuple[ServerProcess, ...] = ()
+    rates: tuple[RateGrant, ...] = ()
+    term: int = 0
 
 
 class UsageRecorded(RoutingMessage):
