--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -197,7 +197,7 @@
                 continue
             self.servers[server.server] = server
             self._report_ended_servers(server, known)
-            if known is None or known.state is not server.state:
+            if known is None or _is_other_process(server, known):
                 changed = True
                 _log_server(server)
         if changed or message.servers:
@@ -247,6 +247,11 @@
         return changed
 
 
+def _is_other_process(server: RegisteredServer, known: RegisteredServer) -> bool:
+    """Return whether the server restarted or changed its state."""
+    return server.state is not known.state or server.incarnation != known.incarnation
+
+
 def _rollout_sort_key(rollout: Rollout) -> tuple[int, int]:
     return (rollout.number, STAGE_ORDER[rollout.stage])
 
