Tell gateways that connect the limits of servers, and test the rates

A gateway that started learned limits from the leader only after it had servers, and sent a few requests beyond them. All coordinators now hold what their gateways observe and tell it before the servers; only the leader grants. Tests for retries and resumed streams, refusals, rare requests, the end of a limit, restarts, a lost leader, no coordinators, and the decisions without a network. The test of the starting gateway failed before.

--- a/test/routing/test_server_rates.py
+++ b/test/routing/test_server_rates.py
@@ -8,9 +8,27 @@
 from gevent import sleep, spawn
 
 from test.routing.library import make_route
-from test.routing.small_system import SmallSystem, small_system, stream_route
-from turmericreel.fakes.routed_server import RoutedServer
+from test.routing.small_system import (
+    SmallSystem,
+    small_system,
+    stream_route,
+    wait_until,
+)
+from turmericreel.decisions.rate_limits import (
+    DEMAND_DECAY_S,
+    GRANT_VALID_S,
+    LEADER_TIMEOUT_S,
+    MAX_RATE,
+    PROBE_RATE,
+    REORDERING_S,
+    GatewayRates,
+    RateGrants,
+    RetryTimes,
+    parse_rate,
+)
+from turmericreel.fakes.routed_server import Misbehaviour, RoutedServer
 from turmericreel.model.routing import RouteKind
+from turmericreel.model.server_crash import ServerProcess
 
 RATE = 2.3
 WINDOW_S = 4.0
@@ -117,3 +135,248 @@
     # It is still given most of what it takes, and the others serve the rest.
     assert n_arrived(limited, since=known_at) >= 0.5 * RATE * 1.5 * WINDOW_S
     assert set(sent.statuses(known_at)) == {200}
+
+
+def all_know_limit(system: SmallSystem, n_limited: int = 1) -> bool:
+    gateways = system.gateways
+    return all(g.chooser.rates.n_limited() == n_limited for g in gateways)
+
+
+def learn_limits(system: SmallSystem, *servers: RoutedServer) -> None:
+    """Send requests until all gateways know the servers' limits."""
+    while not all(server.received for server in servers):
+        system.call("/safe/1")
+    wait_until(lambda: all_know_limit(system, len(servers)), "limits at all gateways")
+
+
+def test_retries_and_resumed_streams_keep_to_the_limit(system):
+    (limited,) = add_servers(system, "s1", rate=str(RATE))
+    for server in add_servers(system, "s2", "s3"):
+        server.misbehaviours.extend([Misbehaviour.CUT_WITHIN] * 1_000)
+    began = monotonic()
+    with traffic(system, "/stream/", per_second=10.0):
+        sleep(LEARNING_TIME_S + WINDOW_S)
+    known_at = began + LEARNING_TIME_S
+    assert n_most(limited, since=known_at) <= MAX_IN_WINDOW
+
+
+def test_clients_are_refused_at_once_with_spread_times_when_all_servers_are_limited(
+    system,
+):
+    servers = add_servers(system, "s1", "s2", rate=str(RATE))
+    learn_limits(system, *servers)
+    began = monotonic()
+    with traffic(system, per_second=40.0) as sent:
+        sleep(WINDOW_S)
+    assert all(n_most(s, since=began) <= MAX_IN_WINDOW for s in servers)
+    n_served = sent.statuses(began).count(200)
+    assert n_served >= 0.5 * 2 * RATE * WINDOW_S
+    refused = [float(delay) for _, status, delay in sent.answers if status == 503]
+    assert len(refused) > 80
+    # Clients have two seconds.
+    assert min(refused) > 0 and max(refused) <= 2.0 / 3
+    assert len(set(refused)) > len(refused) / 3
+    times = []
+    for number in range(10):
+        before = monotonic()
+        system.call(f"/safe/{number}")
+        times.append(monotonic() - before)
+    assert sorted(times)[5] < 0.05
+
+
+def test_rare_requests_are_served_although_all_servers_are_limited(system):
+    servers = add_servers(system, "s1", rate=str(RATE))
+    learn_limits(system, *servers)
+    statuses = []
+    for number in range(8):
+        sleep(1 / RATE + 0.1)
+        index = number % N_GATEWAYS
+        statuses.append(system.call("/safe/1", gateway_index=index)[0])
+    assert statuses == [200] * 8
+
+
+def test_server_that_no_longer_names_a_limit_gets_its_share_again(system):
+    (limited,) = add_servers(system, "s1", rate="0")
+    add_servers(system, "s2")
+    learn_limits(system, limited)
+    with traffic(system, per_second=20.0):
+        limited.rate_limit = ""
+        sleep(1 / PROBE_RATE + 1.0)
+        since = monotonic()
+        sleep(2.0)
+    assert n_arrived(limited, since=since) >= 10
+
+
+def test_restarted_server_has_no_limit(system):
+    (limited,) = add_servers(system, "s1", rate=str(RATE))
+    add_servers(system, "s2")
+    learn_limits(system, limited)
+    with pytest.raises(BrokenPipeError):
+        limited.end("")
+    wait_until(lambda: all_know_limit(system, 0), "no limit at all gateways")
+
+
+def test_gateway_that_starts_knows_the_limits_before_it_serves(system):
+    (limited,) = add_servers(system, "s1", rate=str(RATE))
+    learn_limits(system, limited)
+    address = f"127.0.2.{N_GATEWAYS + 1}:{system.control_port}"
+    system.gateways.append(system.start_gateway(address))
+    wait_until(lambda: system.gateways[-1].view.servers, "servers at the gateway")
+    assert all_know_limit(system)
+
+
+def test_limit_holds_while_gateways_start_and_stop_and_the_leader_changes(system):
+    (limited,) = add_servers(system, "s1", rate=str(RATE))
+    add_servers(system, "s2")
+    learn_limits(system, limited)
+    began = monotonic()
+    with traffic(system, per_second=40.0):
+        sleep(1.0)
+        system.leader.stop()
+        sleep(1.0)
+        system.gateways[0].links.stop()
+        address = f"127.0.2.{N_GATEWAYS + 1}:{system.control_port}"
+        system.gateways.append(system.start_gateway(address))
+        sleep(2.0 * WINDOW_S)
+    assert n_most(limited, since=began) <= MAX_IN_WINDOW
+    assert n_arrived(limited, since=began) >= 0.5 * RATE * 2.0 * WINDOW_S
+
+
+def test_limit_holds_without_coordinators(system):
+    (limited,) = add_servers(system, "s1", rate=str(RATE))
+    add_servers(system, "s2")
+    learn_limits(system, limited)
+    for coordinator in system.coordinators:
+        coordinator.stop()
+    began = monotonic()
+    with traffic(system, per_second=40.0):
+        sleep(2.0 * WINDOW_S)
+    assert n_most(limited, since=began) <= MAX_IN_WINDOW
+    assert n_arrived(limited, since=began) >= 0.5 * RATE * WINDOW_S
+
+
+@pytest.mark.parametrize(
+    "text, rate",
+    [
+        ("2.3", 2.3),
+        ("0", 0.0),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("many", None),
+        ("", None),
+        ("1e300", MAX_RATE),
+    ],
+)
+def test_limits_that_make_no_sense_are_bounded(text, rate):
+    assert parse_rate(text) == rate
+
+
+PROCESS = ServerProcess("s1", 1)
+STEP_S = 0.1
+
+
+def exchange(
+    gateways: dict[str, GatewayRates], leader: RateGrants, *, now: float, term: int = 1
+) -> None:
+    """Let the gateways report, and the leader grant."""
+    for name, rates in gateways.items():
+        leader.record_report(name, rates.report(now=now), now=now)
+    for name, grants in leader.grant(gateways, now=now).items():
+        gateways[name].receive(grants, term=term, n_gateways=len(gateways), now=now)
+
+
+def send_if_allowed(rates: GatewayRates, *, now: float) -> bool:
+    rates.count_wanted(PROCESS)
+    allowed = rates.may_send(PROCESS, now=now)
+    if allowed:
+        rates.take(PROCESS, now=now)
+    return allowed
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.5, 2.3, 40.0])
+@pytest.mark.parametrize("n_gateways", [1, 12, 69])
+def test_granted_requests_stay_within_the_limit_in_any_window(rate, n_gateways):
+    gateways = {f"g{n}": GatewayRates() for n in range(n_gateways)}
+    leader = RateGrants()
+    now, sent = 0.0, []
+    gateways["g0"].record_answer(PROCESS, rate, now=now)
+    for step in range(300):
+        now += STEP_S
+        exchange(gateways, leader, now=now)
+        # Bursts let gateways save up grants.
+        if step // 15 % 2:
+            for _ in range(2):
+                for rates in gateways.values():
+                    sent += [now] * send_if_allowed(rates, now=now)
+    most = max(sum(t <= at < t + WINDOW_S for at in sent) for t in sent)
+    effective = max(rate, PROBE_RATE)
+    assert most <= 1.5 * effective * WINDOW_S + 5
+    # Each gateway has ten requests a second on average.
+    assert len(sent) >= 0.3 * min(effective, 10.0 * n_gateways) * now
+
+
+def test_new_leader_and_an_older_one_do_not_grant_to_the_same_gateway():
+    rates = GatewayRates()
+    rates.record_answer(PROCESS, 2.3, now=0.0)
+    grants = RateGrants()
+    grants.record_report("g", rates.report(now=0.0), now=0.0)
+    (limit,) = grants.grant(["g"], now=0.0)["g"]
+    rates.receive([limit], term=2, n_gateways=1, now=0.1)
+    deadline = rates.leader_deadline
+    assert rates.receive([limit], term=1, n_gateways=1, now=0.5) == []
+    assert rates.leader_deadline == deadline
+
+
+def test_grants_that_were_delivered_to_a_suspended_gateway_expire():
+    rates, grants = GatewayRates(), RateGrants()
+    rates.record_answer(PROCESS, 40.0, now=0.0)
+    for step in range(20):
+        now = step * STEP_S
+        rates.n_wanted[PROCESS] += 4
+        exchange({"g": rates}, grants, now=now)
+    assert rates.may_send(PROCESS, now=now)
+    thawed_at = now + GRANT_VALID_S
+    assert not rates.may_send(PROCESS, now=thawed_at)
+
+
+def test_equal_share_grows_only_while_the_leader_is_lost():
+    rates, grants = GatewayRates(), RateGrants()
+    rates.record_answer(PROCESS, 2.0, now=0.0)
+    exchange({"g": rates, "other": GatewayRates()}, grants, now=0.0)
+    assert not rates.may_send(PROCESS, now=LEADER_TIMEOUT_S)
+    assert not rates.may_send(PROCESS, now=LEADER_TIMEOUT_S + 1.0)
+    assert rates.may_send(PROCESS, now=LEADER_TIMEOUT_S + 1.5)
+    exchange({"g": rates, "other": GatewayRates()}, grants, now=LEADER_TIMEOUT_S + 1.5)
+    assert not rates.may_send(PROCESS, now=LEADER_TIMEOUT_S + 1.6)
+
+
+def test_answer_that_was_sent_before_the_limit_does_not_end_it():
+    rates = GatewayRates()
+    rates.record_answer(PROCESS, 2.0, now=0.0)
+    assert not rates.record_answer(PROCESS, None, now=REORDERING_S / 2)
+    assert rates.n_limited() == 1
+    assert rates.record_answer(PROCESS, None, now=REORDERING_S)
+    assert rates.n_limited() == 0
+
+
+def test_grants_go_to_the_gateways_with_traffic():
+    busy, idle = GatewayRates(), GatewayRates()
+    gateways = {"busy": busy, "idle": idle}
+    leader = RateGrants()
+    busy.record_answer(PROCESS, 2.0, now=0.0)
+    n_sent = 0
+    for step in range(100):
+        now = step * STEP_S
+        exchange(gateways, leader, now=now)
+        n_sent += send_if_allowed(busy, now=now)
+    assert n_sent >= 0.8 * 2.0 * now
+    assert not idle.grants[PROCESS]
+    assert leader.demand[PROCESS]["busy"] > 5 * DEMAND_DECAY_S
+
+
+def test_refused_clients_return_as_fast_as_there_is_room():
+    times = RetryTimes()
+    delays = [times.next_s("service", rate=2.0, now=0.0) for _ in range(4)]
+    assert delays == [0.5, 1.0, 1.5, 2.0]
+    assert times.next_s("service", rate=2.0, now=10.0) == 0.5
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -348,9 +348,12 @@
     def _grant_rates(self) -> dict[InstanceId, tuple[RateGrant, ...]]:
         if not self.rates.known.limits:
             return {}
+        self._drop_unregistered_limits()
+        return self.rates.grant(self.gateways, now=self.now())
+
+    def _drop_unregistered_limits(self) -> None:
         servers = self.registry.servers.values()
         self.rates.drop_unregistered({process_of(s) for s in servers if s.is_usable})
-        return self.rates.grant(self.gateways, now=self.now())
 
     def _update_suspended(self) -> tuple[BackendServerId, ...]:
         usable = (s for s in self.registry.servers.values() if s.is_usable)
@@ -391,6 +394,11 @@
             messages.append(self._routing())
         # Without the roll-outs, a gateway would send requests to unproven versions.
         messages.append(self._rollouts())
+        # Without the limits, it would send requests to servers that take only a few.
+        self._drop_unregistered_limits()
+        limits = self.rates.known_limits(now=self.now())
+        if limits:
+            messages.append(ServerWork(work_ms={}, rates=limits))
         servers = tuple(self.registry.servers.values())
         messages.append(Servers(servers=servers))
         messages.append(self._all_gateways())
--- a/turmericreel/decisions/rate_limits.py
+++ b/turmericreel/decisions/rate_limits.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from math import ceil, exp, isfinite
 
+from msgspec.structs import replace
+
 from turmericreel.model.ids import InstanceId, ServiceName
 from turmericreel.model.server_crash import ServerProcess
 from turmericreel.model.server_rate import RateGrant, RateReport
@@ -80,6 +82,10 @@
     rate: float | None
     observed_at: float
 
+    def age_ms(self, *, now: float) -> int:
+        """Return the time since the observation, never less than it is."""
+        return ceil((now - self.observed_at) * 1_000)
+
 
 class KnownLimits:
     """The newest observation of each process that ever named a limit.
@@ -250,21 +256,26 @@
         """Return whether the leader grants a request soon if one waits."""
         return process in self.spare and now < self.leader_deadline
 
+    def observations(self, *, now: float) -> tuple[RateReport, ...]:
+        """Return the limits that other instances should know."""
+        return tuple(
+            RateReport(process=process, rate=limit.rate, age_ms=limit.age_ms(now=now))
+            for process, limit in self.known.limits.items()
+            if limit.rate is not None or now < limit.observed_at + END_REPORTED_S
+        )
+
     def report(self, *, now: float) -> tuple[RateReport, ...]:
-        """Return the observations, and the counts since the last report."""
+        """Return the observations, with the counts since the last report."""
         for process in list(self.grants):
             self._return_expired(process, now)
         reports = tuple(
-            RateReport(
-                process=process,
-                rate=limit.rate,
-                age_ms=ceil((now - limit.observed_at) * 1_000),
-                n_wanted=self.n_wanted[process],
-                n_waiting=self.n_waiting[process],
-                n_returned=self.n_returned[process],
+            replace(
+                observed,
+                n_wanted=self.n_wanted[observed.process],
+                n_waiting=self.n_waiting[observed.process],
+                n_returned=self.n_returned[observed.process],
             )
-            for process, limit in self.known.limits.items()
-            if limit.rate is not None or now < limit.observed_at + END_REPORTED_S
+            for observed in self.observations(now=now)
         )
         self.n_wanted.clear()
         self.n_returned.clear()
@@ -373,7 +384,7 @@
                 RateGrant(
                     process=process,
                     rate=limit.rate,
-                    age_ms=ceil((now - limit.observed_at) * 1_000),
+                    age_ms=limit.age_ms(now=now),
                     n_granted=counts.get(process, Counter())[instance],
                     has_spare=process in counts and self._has_spare(process),
                 )
@@ -382,6 +393,13 @@
             for instance in instances
         }
 
+    def known_limits(self, *, now: float) -> tuple[RateGrant, ...]:
+        """Return the limits without any grant."""
+        return tuple(
+            RateGrant(process=process, rate=limit.rate, age_ms=limit.age_ms(now=now))
+            for process, limit in self.known.limits.items()
+        )
+
     def drop_unregistered(self, present: set[ServerProcess]) -> None:
         """Drop processes that are not registered any more."""
         self.known.drop_unregistered(present)
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -156,6 +156,7 @@
             view=self.view,
             status=self.status,
             work=self._work_report,
+            limits=self._limit_report,
             crashes=self.guard.reports,
             on_change=self._on_view_change,
             rng=rng,
@@ -221,6 +222,10 @@
             rates=self.chooser.rates.report(now=self.clock.monotonic()),
         )
 
+    def _limit_report(self) -> GatewayWork:
+        observed = self.chooser.rates.observations(now=self.clock.monotonic())
+        return GatewayWork(work_ms={}, rates=observed)
+
     def _sessions_to_bind(self) -> tuple[int, ...]:
         preparing = {
             service
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -203,6 +203,8 @@
     view : GatewayView
     status, work, crashes, on_change : callable
         As for `CoordinatorLink`.
+    limits : callable
+        Returns the report to coordinators that do not lead.
     rng : Random
     """
 
@@ -214,6 +216,7 @@
         view: GatewayView,
         status: Callable[[], GatewayStatus],
         work: Callable[[], GatewayWork],
+        limits: Callable[[], GatewayWork],
         crashes: Callable[[], tuple[CrashReport, ...]],
         on_change: Callable[[], None],
         rng: Random,
@@ -223,6 +226,7 @@
         self.view = view
         self.status = status
         self.work = work
+        self.limits = limits
         self.crashes = crashes
         self.on_change = on_change
         self.rng = rng
@@ -282,11 +286,12 @@
 
     def _work_for(self, instance: InstanceId) -> GatewayWork:
         # All gateways are connected to the leader, which sums up their work.  Work is
-        # therefore reported to other coordinators only without a link to the leader.
+        # therefore reported to other coordinators only without a link to the leader;
+        # they tell gateways that connect to them the limits of servers.
         leader = self.view.leader
         link = self.links.get(leader) if leader is not None else None
         if link is not None and link.connected and instance != leader:
-            return GatewayWork(work_ms={})
+            return self.limits()
         return self.work()
 
     def _run(self) -> None:
