--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -4,10 +4,10 @@
 connections to servers are delayed, reset and silenced in one or both directions, and
 servers refuse, fail and break off answers, send errors without running the request,
 send without an end or a length, end under some requests, at times after a whole answer,
-and say that they leave or want a pause.  All coordinators are lost
-together at times.  The faults overlap, while clients, operators and servers continue
-over persistent connections.  The invariants are in `soak_traffic`; in addition,
-requests must succeed again within `MAX_RECOVERY_S` of the last fault.
+and say that they leave, want a pause or take only some requests a second.  All
+coordinators are lost together at times.  The faults overlap, while clients, operators
+and servers continue over persistent connections.  The invariants are in `soak_traffic`;
+in addition, requests must succeed again within `MAX_RECOVERY_S` of the last fault.
 
     python -m test_long.routing_soak --seed 7 --duration 60
 """
@@ -32,15 +32,18 @@
 from test_long.soak_traffic import (
     FATAL_PARTS,
     HEARTBEAT_S,
+    LIMITED_SERVICE,
     N_EVENTS,
     Caller,
     Client,
     Findings,
+    LimitedPeriod,
     OTHER_CAUSE,
     POISON,
     Operator,
     QuietPeriod,
     check_ends,
+    check_limited_periods,
     check_quiet_periods,
     check_runs,
     send_heartbeat,
@@ -56,7 +59,9 @@
 # Five coordinators with a disk tolerate the loss of two disks.
 MAX_DISK_LOSSES = 2
 N_GATEWAYS = 3
+# Servers that end under some requests, and those of another service that name rates.
 N_SERVERS = 3
+N_LIMITED_SERVERS = 2
 N_CLIENTS = 8
 # Time within which requests must succeed again after the last fault.
 MAX_RECOVERY_S = 12.0
@@ -68,6 +73,9 @@
 END_FRACTION = 0.1
 # Of the periods in which a server wants no requests, those before it leaves.
 LEAVING_FRACTION = 0.5
+# Rates that servers name, in requests a second, and for how long in seconds.
+LIMITS = (0.0, 6.0)
+LIMITED_S = (5.0, 9.0)
 MISBEHAVIOURS = (
     Misbehaviour.REFUSE,
     Misbehaviour.FAIL,
@@ -109,20 +117,17 @@
             self._process("gateway", f"127.0.4.{n + 1}", has_disk=False)
             for n in range(N_GATEWAYS)
         ]
-        self.servers = [
-            RoutedServer(
-                server=f"s{n}",
-                names=PLATFORM_HEADERS,
-                n_events=N_EVENTS,
-                event_pause_s=0.05,
-            )
-            for n in range(N_SERVERS)
+        self.ending_servers = [_build_server(f"s{n}") for n in range(N_SERVERS)]
+        self.limited_servers = [
+            _build_server(f"{LIMITED_SERVICE}-{n}") for n in range(N_LIMITED_SERVERS)
         ]
+        self.servers = self.ending_servers + self.limited_servers
         self.proxies: list[LoopbackProxy] = []
         self.findings = Findings()
         self.numbers = count(1)
         self.n_disk_losses = 0
         self.quiet_periods: list[QuietPeriod] = []
+        self.limited_periods: list[LimitedPeriod] = []
         self.running = True
         self.clients_running = True
 
@@ -131,16 +136,17 @@
         processes = self.coordinators + self.gateways
         for process in processes:
             process.start()
-        for server in self.servers:
+        for server in self.ending_servers:
             server.fatal_bodies.add(POISON)
             server.fatal_parts.update(FATAL_PARTS)
             server.restart_delay_s = self.rng.uniform(0.2, 1.5)
             server.answers_before_end = self.rng.random() < 0.3
+        for server in self.servers:
             server.start()
             proxy = LoopbackProxy(target=server.address)
             proxy.start()
             self.proxies.append(proxy)
-        tasks = [spawn(self._send_heartbeats, n) for n in range(N_SERVERS)]
+        tasks = [spawn(self._send_heartbeats, n) for n in range(len(self.servers))]
         tasks += [spawn(self._run_operator)]
         try:
             self._wait_for_service()
@@ -149,6 +155,10 @@
                 spawn(self._inject_server_faults),
                 spawn(self._inject_link_faults),
                 spawn(self._inject_quiet_periods),
+                *(
+                    spawn(self._inject_limits, server)
+                    for server in self.limited_servers
+                ),
             ]
             tasks += [spawn(self._restart_ended_processes)]
             tasks += [spawn(self._lose_core)]
@@ -161,6 +171,7 @@
             check_runs(self.servers, self.findings)
             check_ends(self.servers, self.findings)
             check_quiet_periods(self.quiet_periods, N_GATEWAYS, self.findings)
+            check_limited_periods(self.limited_periods, self.findings)
         finally:
             self.running = False
             for process in processes:
@@ -257,7 +268,7 @@
             sleep(self.rng.uniform(0.05, 0.4))
             server = self.rng.choice(self.servers)
             if self.rng.random() < END_FRACTION:
-                self._end_server(server)
+                self._end_server(self.rng.choice(self.ending_servers))
             elif self.rng.random() < UNRUN_FRACTION:
                 server.unrun_statuses.append(self.rng.choice(UNRUN_STATUSES))
             elif not server.misbehaviours:
@@ -271,7 +282,7 @@
         """Let servers leave and start again, or ask for a pause."""
         while self.clients_running:
             sleep(self.rng.uniform(0.5, 2.0))
-            server = self.rng.choice(self.servers)
+            server = self.rng.choice(self.ending_servers)
             if server.is_down:
                 continue
             began, quiet_s = monotonic(), self.rng.uniform(1.0, 3.0)
@@ -292,6 +303,18 @@
             if is_leaving:
                 self._end_server(server)
 
+    def _inject_limits(self, server: RoutedServer) -> None:
+        """Let a server name a rate for some seconds."""
+        while self.clients_running:
+            sleep(self.rng.uniform(0.0, 2.0))
+            began, rate = monotonic(), self.rng.uniform(*LIMITS)
+            server.rate_limit = f"{rate:.2f}"
+            sleep(self.rng.uniform(*LIMITED_S))
+            server.rate_limit = ""
+            self.limited_periods.append(
+                LimitedPeriod(server=server, rate=rate, began=began, ended=monotonic())
+            )
+
     def _inject_link_faults(self) -> None:
         while self.clients_running:
             sleep(self.rng.uniform(0.2, 1.5))
@@ -366,6 +389,12 @@
             sleep(0.05)
 
 
+def _build_server(name: str) -> RoutedServer:
+    return RoutedServer(
+        server=name, names=PLATFORM_HEADERS, n_events=N_EVENTS, event_pause_s=0.05
+    )
+
+
 def _reserve_ports() -> tuple[socket, int]:
     """Return the first of 20 ports, and a socket that reserves them while it is open.
 
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -4,7 +4,7 @@
 order and complete; after a configuration was accepted, no older one is read back; a
 valid configuration is never refused; a request or a prompt part that ends its servers
 reaches hardly any once it has ended some; hardly any request reaches a server that is
-leaving or that asked for a pause.
+leaving or that asked for a pause; a server that names a rate gets little more than it.
 """
 
 from collections import Counter, defaultdict
@@ -27,7 +27,11 @@
 OLDER_CONFIGURATION_FRACTION = 0.3
 REFUSAL_STATUSES = (408, 421, 429, 503)
 NETWORK_ERRORS = (OSError, HTTPParseError)
+SERVICE = "service"
+# Service of the servers that name rates.
+LIMITED_SERVICE = "limited"
 REQUEST_KINDS = ("safe", "unsafe", "stream")
+LIMITED_FRACTION = 0.3
 # Body of requests that end each server that runs them.
 POISON = b"poison"
 POISON_FRACTION = 0.1
@@ -48,6 +52,12 @@
 # Requests of one gateway to a server that wants none: it may have to learn first, and
 # learns anew when it has been killed or paused.
 MAX_UNWANTED_PER_GATEWAY = 3
+# A server that names a rate may get this multiple of it, and some more requests, in any
+# window of this length that begins this time after it first named the rate.
+MAX_RATE_FACTOR = 1.5
+MAX_BEYOND_RATE = 5
+RATE_WINDOW_S = 4.0
+RATE_LEARNING_TIME_S = 3.0
 # Cause of a server's end that is due to none of its requests.
 OTHER_CAUSE = ""
 
@@ -212,6 +222,8 @@
             outcome = f"poison {self._send_poison(kind)}"
         elif self.rng.random() < FATAL_PART_FRACTION:
             outcome = f"fatal part {self._send_fatal_part(kind)}"
+        elif self.rng.random() < LIMITED_FRACTION:
+            outcome = f"{LIMITED_SERVICE} {self.request(LIMITED_SERVICE)}"
         else:
             outcome = f"{kind} {self.request(kind)}"
         self.findings.outcomes[outcome] += 1
@@ -324,6 +336,37 @@
             )
 
 
+@dataclass(frozen=True, kw_only=True)
+class LimitedPeriod:
+    """Time in which a server names a rate, in seconds on the monotonic clock."""
+
+    server: RoutedServer
+    rate: float
+    began: float
+    ended: float
+
+
+def check_limited_periods(periods: Sequence[LimitedPeriod], findings: Findings) -> None:
+    """Check that servers that named a rate got little more than it."""
+    for period in periods:
+        findings.outcomes["limited periods"] += 1
+        known_at = period.began + RATE_LEARNING_TIME_S
+        times = [at for at in period.server.received_at if known_at < at < period.ended]
+        findings.outcomes["requests within limits"] += len(times)
+        most = max(
+            (
+                sum(first <= at < first + RATE_WINDOW_S for at in times)
+                for first in times
+            ),
+            default=0,
+        )
+        if most > MAX_RATE_FACTOR * period.rate * RATE_WINDOW_S + MAX_BEYOND_RATE:
+            findings.faults.append(
+                f"{period.server.server} got {most} requests in {RATE_WINDOW_S} s "
+                f"at a rate of {period.rate:.1f}"
+            )
+
+
 def send_heartbeat(
     caller: Caller,
     server: RoutedServer,
@@ -334,7 +377,7 @@
 ) -> None:
     """Send a heartbeat of a server to the first coordinator that accepts it."""
     heartbeat = {
-        "Backend": "service",
+        "Backend": SERVICE if server.fatal_bodies else LIMITED_SERVICE,
         "Address": address,
         "Zone": "a",
         "Version": "v1",
@@ -364,7 +407,7 @@
             "RouteType": kind,
             "TimeoutMs": 3_000,
             "TargetLatencyMs": 300,
-            "Backend": "service",
+            "Backend": SERVICE,
             **options,
         }
 
@@ -374,7 +417,10 @@
             route("safe", "safe", MaxAttempts=3),
             route("unsafe", "unsafe", MaxAttempts=2),
             route("stream", "streaming", MaxAttempts=3, StreamResume=True),
+            route(LIMITED_SERVICE, "safe", MaxAttempts=3, Backend=LIMITED_SERVICE),
+        ],
+        "Backends": [
+            {"Name": name, "HealthCheck": "/h"} for name in (SERVICE, LIMITED_SERVICE)
         ],
-        "Backends": [{"Name": "service", "HealthCheck": "/h"}],
     }
     return msgspec.json.encode(body)
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -141,6 +141,8 @@
             n_quarantined=self.guard.n_quarantined,
             n_suspended=lambda: self.chooser.loads.n_suspended(now=clock.monotonic()),
             n_unavailable=self.chooser.n_unavailable,
+            n_rate_limited=self.chooser.rates.n_limited,
+            n_refused_by_rates=lambda: self.chooser.n_refused_by_rates,
             n_log_lines_dropped=n_log_lines_dropped,
         )
         registry.register(collector)
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
-from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
 from turmericreel.gateway.view import GatewayView
@@ -99,6 +99,10 @@
         Returns the number of suspended servers.
     n_unavailable : callable
         Returns the number of servers that are leaving or asked for a pause.
+    n_rate_limited : callable
+        Returns the number of servers that name a limit on their requests.
+    n_refused_by_rates : callable
+        Returns the number of requests refused because of such limits since the start.
     n_log_lines_dropped : callable
         Returns the number of log lines dropped since the start.
     """
@@ -111,6 +115,8 @@
         n_quarantined: Callable[[], int],
         n_suspended: Callable[[], int],
         n_unavailable: Callable[[], int],
+        n_rate_limited: Callable[[], int],
+        n_refused_by_rates: Callable[[], int],
         n_log_lines_dropped: Callable[[], int],
     ):
         self.view = view
@@ -118,6 +124,8 @@
         self.n_quarantined = n_quarantined
         self.n_suspended = n_suspended
         self.n_unavailable = n_unavailable
+        self.n_rate_limited = n_rate_limited
+        self.n_refused_by_rates = n_refused_by_rates
         self.n_log_lines_dropped = n_log_lines_dropped
 
     def collect(self) -> Iterator[Metric]:
@@ -152,6 +160,16 @@
             "Ready servers that are leaving or asked for a pause.",
             value=self.n_unavailable(),
         )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_rate_limited",
+            "Servers that name a limit on the requests a second.",
+            value=self.n_rate_limited(),
+        )
+        yield CounterMetricFamily(
+            "turmericreel_gateway_refused_by_rates",
+            "Attempts refused because all servers had got as many as they take.",
+            value=self.n_refused_by_rates(),
+        )
         servers = GaugeMetricFamily(
             "turmericreel_gateway_servers",
             "Registered servers by state.",
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -91,6 +91,7 @@
         self.rates = GatewayRates()
         self.rates_changed = Event()
         self.retry_times = RetryTimes()
+        self.n_refused_by_rates = 0
 
     def service_for(self, request: ClientRequest) -> ServiceName:
         """Choose a service at random, by the weights of the request's route."""
@@ -331,6 +332,7 @@
         servers: list[RegisteredServer],
     ) -> FailureError:
         """Return the refusal, with a time after which there is room for this client."""
+        self.n_refused_by_rates += 1
         now = self.clock.monotonic()
         rate = self.rates.rate_of_all(map(process_of, servers)) / self.rates.n_gateways
         wait_s = self.retry_times.next_s(service, rate=rate, now=now)
