Split the rates by job: known limits, gateways, grants

One module decided for gateways and for the leader, and the server chooser also waited for grants and refused. The number of gateways is now asked when a share is computed: a gateway that had never got a grant took the whole rate for itself when it lost the coordinators before the first limit. Limits for a gateway that connects leave its sums and suspensions alone, and a group that began anew after the loss of all disks may grant.

--- a/test/routing/test_server_rates.py
+++ b/test/routing/test_server_rates.py
@@ -14,21 +14,20 @@
     stream_route,
     wait_until,
 )
-from turmericreel.decisions.rate_limits import (
-    DEMAND_DECAY_S,
+from turmericreel.decisions.gateway_rates import (
     GRANT_VALID_S,
     LEADER_TIMEOUT_S,
-    MAX_RATE,
-    PROBE_RATE,
     REORDERING_S,
     GatewayRates,
-    RateGrants,
     RetryTimes,
-    parse_rate,
 )
+from turmericreel.decisions.rate_grants import DEMAND_DECAY_S, RateGrants
+from turmericreel.decisions.rate_limits import MAX_RATE, PROBE_RATE, parse_rate
 from turmericreel.fakes.routed_server import Misbehaviour, RoutedServer
 from turmericreel.model.routing import RouteKind
 from turmericreel.model.server_crash import ServerProcess
+from turmericreel.model.server_rate import RateGrant
+from turmericreel.protocols.routing_messages import ServerWork
 
 RATE = 2.3
 WINDOW_S = 4.0
@@ -139,7 +138,7 @@
 
 def all_know_limit(system: SmallSystem, n_limited: int = 1) -> bool:
     gateways = system.gateways
-    return all(g.chooser.rates.n_limited() == n_limited for g in gateways)
+    return all(g.chooser.rates.rates.n_limited() == n_limited for g in gateways)
 
 
 def learn_limits(system: SmallSystem, *servers: RoutedServer) -> None:
@@ -242,13 +241,15 @@
     assert n_arrived(limited, since=began) >= 0.5 * RATE * 2.0 * WINDOW_S
 
 
-def test_limit_holds_without_coordinators(system):
+@pytest.mark.parametrize("learned_before", [True, False])
+def test_limit_holds_without_coordinators(system, learned_before):
     (limited,) = add_servers(system, "s1", rate=str(RATE))
     add_servers(system, "s2")
-    learn_limits(system, limited)
+    if learned_before:
+        learn_limits(system, limited)
     for coordinator in system.coordinators:
         coordinator.stop()
-    began = monotonic()
+    began = monotonic() + LEARNING_TIME_S * (not learned_before)
     with traffic(system, per_second=40.0):
         sleep(2.0 * WINDOW_S)
     assert n_most(limited, since=began) <= MAX_IN_WINDOW
@@ -283,7 +284,7 @@
     for name, rates in gateways.items():
         leader.record_report(name, rates.report(now=now), now=now)
     for name, grants in leader.grant(gateways, now=now).items():
-        gateways[name].receive(grants, term=term, n_gateways=len(gateways), now=now)
+        gateways[name].receive(grants, term=term, now=now)
 
 
 def send_if_allowed(rates: GatewayRates, *, now: float) -> bool:
@@ -322,10 +323,13 @@
     grants = RateGrants()
     grants.record_report("g", rates.report(now=0.0), now=0.0)
     (limit,) = grants.grant(["g"], now=0.0)["g"]
-    rates.receive([limit], term=2, n_gateways=1, now=0.1)
+    rates.receive([limit], term=2, now=0.1)
     deadline = rates.leader_deadline
-    assert rates.receive([limit], term=1, n_gateways=1, now=0.5) == []
+    assert rates.receive([limit], term=1, now=0.5) == []
     assert rates.leader_deadline == deadline
+    # All coordinators may have lost their disks and begun anew.
+    rates.receive([limit], term=1, now=deadline)
+    assert rates.leader_deadline > deadline
 
 
 def test_grants_that_were_delivered_to_a_suspended_gateway_expire():
@@ -341,7 +345,7 @@
 
 
 def test_equal_share_grows_only_while_the_leader_is_lost():
-    rates, grants = GatewayRates(), RateGrants()
+    rates, grants = GatewayRates(n_gateways=lambda: 2), RateGrants()
     rates.record_answer(PROCESS, 2.0, now=0.0)
     exchange({"g": rates, "other": GatewayRates()}, grants, now=0.0)
     assert not rates.may_send(PROCESS, now=LEADER_TIMEOUT_S)
@@ -380,3 +384,12 @@
     delays = [times.next_s("service", rate=2.0, now=0.0) for _ in range(4)]
     assert delays == [0.5, 1.0, 1.5, 2.0]
     assert times.next_s("service", rate=2.0, now=10.0) == 0.5
+
+
+def test_limits_for_a_connecting_gateway_leave_its_suspensions_alone(system):
+    chooser = system.gateways[0].chooser
+    chooser.receive_work(ServerWork(work_ms={"s1": 5.0}, suspended=("s1",)))
+    limit = RateGrant(process=PROCESS, rate=2.0, age_ms=0)
+    chooser.receive_work(ServerWork(work_ms={}, rates=(limit,), is_partial=True))
+    assert chooser.loads.suspended == {"s1"}
+    assert chooser.rates.rates.n_limited() == 1
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -13,7 +13,7 @@
 from msgspec.structs import replace
 
 from turmericreel.decisions.content_quarantine import ContentQuarantine
-from turmericreel.decisions.rate_limits import RateGrants
+from turmericreel.decisions.rate_grants import RateGrants
 from turmericreel.decisions.server_health import ServerHealth
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
@@ -398,7 +398,7 @@
         self._drop_unregistered_limits()
         limits = self.rates.known_limits(now=self.now())
         if limits:
-            messages.append(ServerWork(work_ms={}, rates=limits))
+            messages.append(ServerWork(work_ms={}, rates=limits, is_partial=True))
         servers = tuple(self.registry.servers.values())
         messages.append(Servers(servers=servers))
         messages.append(self._all_gateways())
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -5,7 +5,6 @@
 from eliot import log_message
 
 from turmericreel.decisions.model_choice import ModelChoice, Pressure
-from turmericreel.decisions.rate_limits import parse_rate
 from turmericreel.decisions.server_availability import parse_pause_s
 from turmericreel.entry.server_connections import ServerConnections
 from turmericreel.gateway.attempts import (
@@ -99,7 +98,7 @@
         """
         self.guard.begin_attempt(request.content, request.part_digests)
         now = self.clock.monotonic()
-        self.chooser.rates.take(process_of(server), now=now)
+        self.chooser.rates.take(server)
         exchange = ServerExchange(
             request=request,
             server=server,
@@ -161,7 +160,10 @@
     ) -> None:
         """Record that a server is leaving, asks for a pause or names a limit."""
         process = process_of(server)
-        self._record_rate(server, answer)
+        if answer.status != MISDIRECTED_STATUS:
+            # Otherwise another server answered at this address.
+            limit = answer.header(self.names.rate_limit)
+            self.chooser.rates.record_answer(server, limit)
         if answer.header(self.names.leaving) == LEAVING:
             self.chooser.record_leaving([process])
         retry_after = answer.header("Retry-After")
@@ -180,23 +182,6 @@
                 process, pause_s=pause_s, now=self.clock.monotonic()
             )
 
-    def _record_rate(self, server: RegisteredServer, answer: ForwardedAnswer) -> None:
-        """Record the limit in an answer, or that there is none any more."""
-        if answer.status == MISDIRECTED_STATUS:
-            # Another server answered at this address.
-            return
-        text = answer.header(self.names.rate_limit)
-        rate = parse_rate(text) if text else None
-        if text and rate is None:
-            log_message(
-                "gateway:rate_limit_invalid",
-                server=server.server,
-                incarnation=server.incarnation,
-                named=text[:MAX_LOGGED_HEADER],
-            )
-            return
-        self.chooser.record_rate(server, rate, text=text[:MAX_LOGGED_HEADER])
-
     def _record_answer(
         self,
         request: ClientRequest,
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -141,8 +141,8 @@
             n_quarantined=self.guard.n_quarantined,
             n_suspended=lambda: self.chooser.loads.n_suspended(now=clock.monotonic()),
             n_unavailable=self.chooser.n_unavailable,
-            n_rate_limited=self.chooser.rates.n_limited,
-            n_refused_by_rates=lambda: self.chooser.n_refused_by_rates,
+            n_rate_limited=self.chooser.rates.rates.n_limited,
+            n_refused_by_rates=lambda: self.chooser.rates.n_refused,
             n_log_lines_dropped=n_log_lines_dropped,
         )
         registry.register(collector)
@@ -221,12 +221,11 @@
             work_ms=self.chooser.work.report(),
             outcomes=self.chooser.loads.collect_outcomes(),
             leaving=self.chooser.leaving_servers(),
-            rates=self.chooser.rates.report(now=self.clock.monotonic()),
+            rates=self.chooser.rates.report(),
         )
 
     def _limit_report(self) -> GatewayWork:
-        observed = self.chooser.rates.observations(now=self.clock.monotonic())
-        return GatewayWork(work_ms={}, rates=observed)
+        return GatewayWork(work_ms={}, rates=self.chooser.rates.observations())
 
     def _sessions_to_bind(self) -> tuple[int, ...]:
         preparing = {
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -1,21 +1,18 @@
 """Chooses the server for a request from those that it may run on."""
 
 from collections.abc import Iterable
-from enum import Enum
 from random import Random
 
 from eliot import log_message
-from gevent.event import Event
-from gevent.timeout import Timeout
 
 from turmericreel.decisions.prompt_work import PrefillSpeed, PromptWork
-from turmericreel.decisions.rate_limits import GRANT_WAIT_S, GatewayRates, RetryTimes
 from turmericreel.decisions.server_availability import ServerAvailability
 from turmericreel.decisions.server_placement import Candidate, Placement, Prompt
 from turmericreel.decisions.version_split import servers_for_rollout, session_hash
 from turmericreel.gateway.client_request import ClientRequest
 from turmericreel.gateway.recent_sessions import RecentSessions
 from turmericreel.gateway.server_loads import ServerLoads
+from turmericreel.gateway.server_rates import RATES_REACHED, ServerRates
 from turmericreel.gateway.view import GatewayView
 from turmericreel.model.failures import (
     Failure,
@@ -41,14 +38,6 @@
 # Clients do not wait for longer than this fraction of the time that they have left.
 MAX_RETRY_FRACTION = 1 / 3
 NO_SERVER_LEFT = "no usable server is left"
-RATES_REACHED = "all usable servers have got as many requests as they take"
-
-
-class RateSource(Enum):
-    """How a gateway learned of a limit."""
-
-    ANSWER = "answer"
-    COORDINATOR = "coordinator"
 
 
 class ServerChooser:
@@ -88,10 +77,9 @@
         self.speed = PrefillSpeed()
         self.work = PromptWork()
         self.availability = ServerAvailability()
-        self.rates = GatewayRates()
-        self.rates_changed = Event()
-        self.retry_times = RetryTimes()
-        self.n_refused_by_rates = 0
+        self.rates = ServerRates(
+            n_gateways=lambda: len(view.gateways), clock=clock, rng=rng
+        )
 
     def service_for(self, request: ClientRequest) -> ServiceName:
         """Choose a service at random, by the weights of the request's route."""
@@ -123,9 +111,7 @@
         untried = [s for s in allowed if s.server not in tried]
         if not untried:
             raise self._no_server_failure(request, service, now)
-        ready = self._within_rates(request, untried)
-        if not ready:
-            raise self._rate_failure(request, service, untried)
+        ready = self.rates.ready_servers(request, service, untried)
         now = self.clock.monotonic()
         healthy = [s for s in ready if not self.loads.is_paused(s.server, now=now)]
         servers = healthy or ready
@@ -148,12 +134,13 @@
 
     def receive_work(self, work: ServerWork) -> None:
         """Record the servers' pending prefill work, and which are not to be used."""
+        if work.rates:
+            self.rates.receive(work.rates, term=work.term)
+        if work.is_partial:
+            return
         self.work.receive_total(work.work_ms)
         self.record_leaving(work.leaving)
-        now = self.clock.monotonic()
-        self.loads.suspend(work.suspended, now=now)
-        if work.rates:
-            self._receive_rates(work, now)
+        self.loads.suspend(work.suspended, now=self.clock.monotonic())
 
     def record_leaving(self, processes: Iterable[ServerProcess]) -> None:
         """Send no more requests to these server processes."""
@@ -164,38 +151,6 @@
                 incarnation=process.incarnation,
             )
 
-    def record_rate(
-        self, server: RegisteredServer, rate: float | None, *, text: str
-    ) -> None:
-        """Record the limit that a server named in an answer, None without one."""
-        process, now = process_of(server), self.clock.monotonic()
-        if self.rates.record_answer(process, rate, now=now):
-            self._log_rate(process, RateSource.ANSWER, text=text)
-
-    def _receive_rates(self, work: ServerWork, now: float) -> None:
-        changed = self.rates.receive(
-            work.rates, term=work.term, n_gateways=len(self.view.gateways), now=now
-        )
-        for process in changed:
-            self._log_rate(process, RateSource.COORDINATOR)
-        # Wakes the requests that wait for a grant now.
-        self.rates_changed.set()
-        self.rates_changed.clear()
-
-    def _log_rate(
-        self, process: ServerProcess, source: RateSource, *, text: str = ""
-    ) -> None:
-        limit = self.rates.known.limits[process]
-        log_message(
-            "gateway:rate_limit",
-            server=process.server,
-            incarnation=process.incarnation,
-            rate=limit.rate,
-            named=text,
-            source=source.value,
-            age_ms=int((self.clock.monotonic() - limit.observed_at) * 1_000),
-        )
-
     def n_unavailable(self) -> int:
         """Return the number of ready servers that are leaving or asked for a pause."""
         now = self.clock.monotonic()
@@ -220,7 +175,7 @@
             if server.state is not ServerState.GONE
         }
         self.availability.drop_unregistered(present, now=self.clock.monotonic())
-        self.rates.drop_unregistered(present)
+        self.rates.rates.drop_unregistered(present)
 
     def record_session(
         self, request: ClientRequest, server: RegisteredServer, now: float
@@ -285,71 +240,6 @@
             if self.availability.is_available(process_of(server), now=now)
         ]
 
-    def _within_rates(
-        self, request: ClientRequest, servers: list[RegisteredServer]
-    ) -> list[RegisteredServer]:
-        """Return the servers that may get a request now by the limits they named.
-
-        Wait for a bounded time if there is none but the leader has requests to grant.
-        """
-        if self.rates.is_empty:
-            return servers
-        for server in servers:
-            self.rates.count_wanted(process_of(server))
-        return self._ready_servers(servers) or self._wait_for_grant(request, servers)
-
-    def _wait_for_grant(
-        self, request: ClientRequest, servers: list[RegisteredServer]
-    ) -> list[RegisteredServer]:
-        """Wait until a server may get the request, if the leader grants one soon."""
-        now = self.clock.monotonic()
-        processes = [process_of(server) for server in servers]
-        spare = [p for p in processes if self.rates.may_be_granted(p, now=now)]
-        if not spare:
-            return []
-        # One process, since the grants of others would expire unused.
-        process = self.rng.choice(spare)
-        ready: list[RegisteredServer] = []
-        wait_s = min(GRANT_WAIT_S, (request.deadline - now) * SERVER_WAIT_FRACTION)
-        self.rates.n_waiting[process] += 1
-        try:
-            with Timeout(wait_s, False):
-                while not ready:
-                    self.rates_changed.wait()
-                    ready = self._ready_servers(servers)
-        finally:
-            self.rates.n_waiting[process] -= 1
-        return ready
-
-    def _ready_servers(self, servers: list[RegisteredServer]) -> list[RegisteredServer]:
-        now = self.clock.monotonic()
-        return [s for s in servers if self.rates.may_send(process_of(s), now=now)]
-
-    def _rate_failure(
-        self,
-        request: ClientRequest,
-        service: ServiceName,
-        servers: list[RegisteredServer],
-    ) -> FailureError:
-        """Return the refusal, with a time after which there is room for this client."""
-        self.n_refused_by_rates += 1
-        now = self.clock.monotonic()
-        rate = self.rates.rate_of_all(map(process_of, servers)) / self.rates.n_gateways
-        wait_s = self.retry_times.next_s(service, rate=rate, now=now)
-        wait_s += wait_s * self.rng.uniform(0.0, RETRY_SPREAD)
-        limit_s = max(request.deadline - now, 0.0) * MAX_RETRY_FRACTION
-        if wait_s > limit_s:
-            # Clients whose time is limited must not return together either.
-            wait_s = limit_s * self.rng.uniform(1.0 - RETRY_SPREAD, 1.0)
-        return FailureError(
-            NotRun(
-                reason=NotRunReason.NO_HEALTHY_SERVER,
-                proof=ProofKind.NOT_DISPATCHED,
-                retry_after_ms=max(int(wait_s * 1_000), 1),
-                detail=RATES_REACHED,
-            )
-        )
-
     def _no_server_failure(
         self, request: ClientRequest, service: ServiceName, now: float
     ) -> FailureError:
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -82,6 +82,8 @@
         Limits of server processes, and the requests that the receiver may send.
     term : int
         Term of the leader that granted them.
+    is_partial : bool
+        Whether the message tells `rates` only.
     """
 
     work_ms: dict[BackendServerId, float]
@@ -89,6 +91,7 @@
     leaving: tuple[ServerProcess, ...] = ()
     rates: tuple[RateGrant, ...] = ()
     term: int = 0
+    is_partial: bool = False
 
 
 class UsageRecorded(RoutingMessage):
