--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -180,7 +180,7 @@
         for seed in system.seeds
     ]
     wait_until(
-        lambda: all(c.hub.quarantine.records() for c in system.coordinators),
+        lambda: all(c.hub.crashes.reports() for c in system.coordinators),
         "records at the new coordinators",
     )
 
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -12,20 +12,14 @@
 from gevent.event import Event
 from msgspec.structs import replace
 
-from turmericreel.decisions.content_quarantine import ContentQuarantine
+from turmericreel.coordinator.crash_records import CrashRecords
 from turmericreel.decisions.rate_grants import RateGrants
 from turmericreel.decisions.server_health import ServerHealth
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.ids import BackendServerId, InstanceId
 from turmericreel.model.registered_server import RegisteredServer
-from turmericreel.model.server_crash import (
-    CrashRefutation,
-    CrashReport,
-    ServerCrash,
-    ServerProcess,
-    process_of,
-)
+from turmericreel.model.server_crash import CrashReport, ServerProcess, process_of
 from turmericreel.model.server_rate import RateGrant
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
@@ -94,8 +88,6 @@
         self.heartbeat = heartbeat
         self.clock = clock
         self.now = clock.monotonic
-        # Stays the same, so that the state to save does not change with the clock.
-        self.wall_offset_ms = clock.wall_ms() - int(clock.monotonic() * 1_000)
         self.gateways: dict[InstanceId, GatewayEntry] = {}
         self.gateways_of_peers: dict[InstanceId, dict[InstanceId, GatewayInstance]] = {}
         self.changed_gateways: set[InstanceId] = set()
@@ -106,7 +98,7 @@
         self.changed = Event()
         self.health = ServerHealth()
         self.suspended: set[BackendServerId] = set()
-        self.quarantine = ContentQuarantine()
+        self.crashes = CrashRecords(clock=clock)
         self.rates = RateGrants()
         self.work_sent = False
         self.routing_pending = False
@@ -123,8 +115,7 @@
         """
         self.restored = state
         self.registry.restore(state.servers, now=self.now(), expiry_s=expiry_s)
-        now_ms = self.clock.wall_ms()
-        self._merge_crashes(crash.report(now_ms=now_ms) for crash in state.crashes)
+        self.crashes.restore(state.crashes)
 
     def distributed_state(self) -> RoutingState:
         """Return the state that this coordinator currently distributes."""
@@ -134,10 +125,7 @@
             document=routing.document,
             rollouts=self._rollouts().rollouts,
             servers=tuple(self.registry.servers.values()),
-            crashes=tuple(
-                replace(crash, expires_ms=crash.expires_ms + self.wall_offset_ms)
-                for crash in self.quarantine.records()
-            ),
+            crashes=self.crashes.saved(),
         )
 
     def record_heartbeat(self, reported: RegisteredServer) -> None:
@@ -147,34 +135,17 @@
         else:
             self.unchanged_heartbeats[reported.server] = reported
         if self.registry.servers.get(reported.server) is reported:
-            self._refute_crashes(reported)
-
-    def _refute_crashes(self, reported: RegisteredServer) -> None:
-        """Refute the crashes of a server that reported later."""
-        process = process_of(reported)
-        refuted = self.quarantine.record_heartbeat(process, now=self.now())
-        now_ms = self._now_ms()
-        for crash in refuted:
-            log_message(
-                "coordinator:crash_refuted",
-                content=crash.content,
-                server=process.server,
-                incarnation=process.incarnation,
-                refutation=CrashRefutation.HEARTBEAT.value,
-                sequence=reported.sequence,
-                age_ms=crash.age_ms(now_ms=now_ms),
-            )
-        self._publish_crashes(refuted)
+            self._publish_crashes(self.crashes.record_heartbeat(reported))
 
     def receive_crashes(self, reports: Iterable[CrashReport]) -> None:
         """Merge the records of a gateway, and pass on what is new."""
-        self._publish_crashes(self._merge_crashes(reports))
+        self._publish_crashes(self.crashes.merge(reports))
 
     def receive_peer_crashes(self, reports: Iterable[CrashReport]) -> None:
         """Merge the records of another coordinator, and send gateways what is new."""
-        changed = self._merge_crashes(reports)
+        changed = self.crashes.merge(reports)
         if changed:
-            self._send_to_gateways(self._crash_message(changed))
+            self._send_to_gateways(ServerCrashes(crashes=tuple(changed)))
 
     def deregister_server(self, server: BackendServerId) -> None:
         """Deregister a server that is permanently gone."""
@@ -244,7 +215,7 @@
         """Add a coordinator and send it all registrations and own gateways."""
         self.peers[instance] = session
         session.send(Servers(servers=tuple(self.registry.servers.values())))
-        session.send(self._crash_message(self.quarantine.records()))
+        session.send(ServerCrashes(crashes=tuple(self.crashes.reports())))
         own = tuple(e.status.gateway for e in self.gateways.values())
         session.send(Gateways(gateways=own, complete=True))
 
@@ -388,7 +359,7 @@
         # A gateway that is starting must not serve before it knows the crashes.
         messages: list[RoutingMessage] = [
             self.heartbeat(),
-            self._crash_message(self.quarantine.records()),
+            ServerCrashes(crashes=tuple(self.crashes.reports())),
         ]
         if self._routing_source().revision:
             messages.append(self._routing())
@@ -473,27 +444,14 @@
         for peer in self.peers.values():
             peer.send(message)
 
-    def _merge_crashes(self, reports: Iterable[CrashReport]) -> list[ServerCrash]:
-        now_ms = self._now_ms()
-        self.quarantine.drop_expired(now_ms=now_ms)
-        crashes = [report.record(now_ms=now_ms) for report in reports]
-        return self.quarantine.merge(crashes, now=self.now(), now_ms=now_ms)
-
-    def _publish_crashes(self, changed: list[ServerCrash]) -> None:
+    def _publish_crashes(self, changed: list[CrashReport]) -> None:
         if not changed:
             return
-        message = self._crash_message(changed)
+        message = ServerCrashes(crashes=tuple(changed))
         self._send_to_gateways(message)
         for peer in self.peers.values():
             peer.send(message)
 
-    def _crash_message(self, crashes: Iterable[ServerCrash]) -> ServerCrashes:
-        now_ms = self._now_ms()
-        return ServerCrashes(crashes=tuple(c.report(now_ms=now_ms) for c in crashes))
-
-    def _now_ms(self) -> int:
-        return int(self.now() * 1_000)
-
     def _send_to_gateways(self, message: RoutingMessage) -> None:
         for entry in list(self.gateways.values()):
             entry.session.send(message)
