Keep to the rates of servers at entry instances as well

They have no grants, so each keeps to an equal share of it; a call that finds all servers at their rates is refused as not run. Both new tests need the new attribute and cannot run on the code before.

--- a/test/accounts/test_request_path.py
+++ b/test/accounts/test_request_path.py
@@ -31,6 +31,7 @@
     VersionId,
 )
 from turmericreel.model.request import Request, RequestKind
+from turmericreel.model.server_crash import process_of
 
 
 def run_request(
@@ -202,3 +203,14 @@
     }
     run_request(entry, world, [AttemptScenario.OK], version="v1", **booking)
     assert ends == [AttemptEnd.FAILED]
+
+
+def test_server_that_has_got_its_rate_gets_no_more_calls():
+    world = World()
+    entry = build_instance(world, "entry-1")
+    rates, now = entry.path.attempts.rates, entry.path.attempts.clock.monotonic()
+    for server in entry.control.view.servers.values():
+        rates.record_answer(process_of(server), 0.5, now=now)
+    pieces, failure = run_request(entry, world, [])
+    assert isinstance(failure, NotRun)
+    assert pieces == []
--- a/test/accounts/test_server_client.py
+++ b/test/accounts/test_server_client.py
@@ -1,6 +1,7 @@
 """The server client passes on only valid answers that belong to its attempt."""
 
 import pytest
+from gevent import sleep
 from gevent.socket import socket
 
 from test.accounts.scripted_server import (
@@ -18,6 +19,7 @@
     whole_answer,
 )
 from test.library import wait_until
+from turmericreel.decisions.gateway_rates import REORDERING_S
 from turmericreel.entry.pieces import Finished, Tokens, WholeAnswer, text_of
 from turmericreel.entry.server_client import ServerClient
 from turmericreel.model.failures import (
@@ -28,6 +30,7 @@
     ProofKind,
 )
 from turmericreel.model.request import RequestKind
+from turmericreel.model.server_crash import process_of
 from turmericreel.util.clock import SystemClock
 
 OTHER_REQUEST_HEADERS = "Turmericreel-Request-Id: r2\r\nTurmericreel-Attempt: 1\r\n"
@@ -337,3 +340,23 @@
         )
         list(make_client().run(attempt))
         assert server.requests[0].startswith(b"POST /a%0D%0AX:%20y?q=1%202 HTTP/1.1")
+
+
+def test_rate_that_a_server_names_is_kept_until_it_names_none():
+    client = make_client()
+    extras = iter(["Turmericreel-Rate-Limit: 0.5\r\n", ""])
+
+    def script(sock, data) -> bool:
+        sock.sendall(stream_header(next(extras)) + b"".join(WHOLE_STREAM[1:]))
+        return True
+
+    with ScriptedServer(script=script) as server:
+        dispatch = dispatch_to(server.address)
+        process = process_of(dispatch.server)
+        list(client.run(dispatch))
+        now = client.clock.monotonic()
+        assert not client.rates.may_send(process, now=now)
+        assert client.rates.may_send(process, now=now + 3.0)
+        sleep(REORDERING_S)
+        list(client.run(dispatch))
+        assert client.rates.may_send(process, now=client.clock.monotonic())
--- a/turmericreel/entry/attempts.py
+++ b/turmericreel/entry/attempts.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from turmericreel.coordination.control_client import ControlClient
+from turmericreel.decisions.gateway_rates import GatewayRates
 from turmericreel.decisions.server_policy import AttemptEnd, EndedAttempt
 from turmericreel.decisions.slot_search import find_server
 from turmericreel.entry.contents import ContentGuard
@@ -23,6 +24,7 @@
 )
 from turmericreel.model.ids import AttemptNumber, BackendServerId, VersionId
 from turmericreel.model.request import Request
+from turmericreel.model.server_crash import process_of
 from turmericreel.model.servers import BackendServer
 from turmericreel.util.clock import Clock
 
@@ -57,6 +59,9 @@
         self.observer = observer
         self.clock = clock
         self.contents = ContentGuard(control=control, clock=clock)
+        # Entry instances have no grants, and share the rates of servers equally.
+        self.rates = GatewayRates(n_gateways=lambda: len(control.view.instances))
+        server_client.rates = self.rates
 
     def check_lease(self) -> None:
         """Raise `NotRun` unless the lease, and thus the configuration, is valid now."""
@@ -121,6 +126,14 @@
             now=self.clock.monotonic(),
         )
 
+    def _take_rate(self, server: BackendServer) -> None:
+        """Count a request, or raise `NotRun` if its server takes no more now."""
+        process, now = process_of(server), self.clock.monotonic()
+        if not self.rates.may_send(process, now=now):
+            # Another request took the server's rate while this one was admitted.
+            raise _no_server()
+        self.rates.take(process, now=now)
+
     def _choose_server(
         self,
         request: Request,
@@ -129,7 +142,9 @@
         progress: "_Progress",
     ) -> BackendServer:
         servers = self.control.view.servers.values()
-        candidates = [s for s in servers if s.service == request.service]
+        now = self.clock.monotonic()
+        present = [s for s in servers if s.service == request.service]
+        candidates = [s for s in present if self.rates.may_send(process_of(s), now=now)]
         # A broken stream may resume at a server already tried if no other is usable.
         for excluded in [tried, set()] if progress.resumable else [tried]:
             server = find_server(
@@ -143,9 +158,7 @@
             )
             if server is not None:
                 return server
-        raise FailureError(
-            NotRun(reason=NotRunReason.NO_HEALTHY_SERVER, retry_after_ms=1_000)
-        )
+        raise _no_server()
 
     def _next_dispatch(
         self,
@@ -181,9 +194,10 @@
     def _run_attempt(
         self, dispatch: Dispatch, billing: RequestBilling
     ) -> Iterator[Piece]:
-        # Nothing may happen between this check and the send.
+        # Nothing may happen between these checks and the send.
         try:
             self.check_lease()
+            self._take_rate(dispatch.server)
         except FailureError:
             # The admitted copy never runs; without a report it would count as a crash.
             self.contents.report_end(dispatch, AttemptEnd.UNREACHABLE)
@@ -260,6 +274,12 @@
         self.n_tokens += len(piece.texts)
 
 
+def _no_server() -> FailureError:
+    return FailureError(
+        NotRun(reason=NotRunReason.NO_HEALTHY_SERVER, retry_after_ms=1_000)
+    )
+
+
 def _attempt_end(failure: Failure) -> AttemptEnd:
     if not isinstance(failure, NotRun):
         return AttemptEnd.BROKEN
--- a/turmericreel/entry/server_client.py
+++ b/turmericreel/entry/server_client.py
@@ -5,7 +5,10 @@
 from urllib.parse import quote
 
 import msgspec
+from eliot import log_message
 
+from turmericreel.decisions.gateway_rates import GatewayRates
+from turmericreel.decisions.rate_limits import parse_rate
 from turmericreel.entry.pieces import Finished, Piece, Started, Tokens, WholeAnswer
 from turmericreel.entry.server_answer import ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection, ServerConnections
@@ -20,6 +23,7 @@
 )
 from turmericreel.model.ids import AttemptNumber, FencingToken, Revision, VersionId
 from turmericreel.model.request import Request, RequestKind
+from turmericreel.model.server_crash import process_of
 from turmericreel.model.servers import BackendServer
 from turmericreel.protocols import headers
 from turmericreel.protocols.addresses import parse_address
@@ -30,6 +34,7 @@
 RETRY_AFTER_MS = 1_000
 IDLE_TIMEOUT_S = 10.0
 EVENT_STREAM = "text/event-stream"
+MAX_LOGGED_HEADER = 64
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -62,11 +67,17 @@
     clock : Clock
     idle_timeout_s : float
         Seconds without a byte, after the first token, before a stream fails.
+
+    Attributes
+    ----------
+    rates : GatewayRates
+        Rates that servers name in their answers.
     """
 
     def __init__(self, *, clock: Clock, idle_timeout_s: float = IDLE_TIMEOUT_S):
         self.clock = clock
         self.idle_timeout_s = idle_timeout_s
+        self.rates = GatewayRates()
         self.connections = ServerConnections(clock=clock)
 
     def run(self, dispatch: Dispatch) -> Iterator[Piece]:
@@ -126,6 +137,7 @@
             answer.read_header()
         except FailureError as error:
             raise _unknown(dispatch, error.failure.describe()) from error
+        self._record_rate(dispatch, answer)
         _check_identity(dispatch, answer)
         refused = answer.header(headers.REFUSED)
         if refused:
@@ -145,6 +157,23 @@
         else:
             yield from _read_completion(dispatch, answer)
 
+    def _record_rate(self, dispatch: Dispatch, answer: ServerAnswer) -> None:
+        """Record the limit that the answer names, or that it names none."""
+        text = answer.header(headers.RATE_LIMIT)
+        rate = parse_rate(text) if text else None
+        if text and rate is None:
+            log_message(
+                "entry:rate_limit_invalid",
+                server=dispatch.server.server,
+                named=text[:MAX_LOGGED_HEADER],
+            )
+            return
+        process = process_of(dispatch.server)
+        if self.rates.record_answer(process, rate, now=self.clock.monotonic()):
+            log_message(
+                "entry:rate_limit", server=dispatch.server.server, rate=rate, named=text
+            )
+
 
 def _send(dispatch: Dispatch, connection: ServerConnection, clock: Clock) -> None:
     remaining_s = dispatch.deadline - clock.monotonic()
--- a/turmericreel/model/server_crash.py
+++ b/turmericreel/model/server_crash.py
@@ -14,6 +14,7 @@
     VersionId,
 )
 from turmericreel.model.registered_server import RegisteredServer
+from turmericreel.model.servers import BackendServer
 
 PART_PREFIX = "part:"
 ACCOUNT_SEPARATOR = "@"
@@ -137,7 +138,7 @@
         )
 
 
-def process_of(server: RegisteredServer) -> ServerProcess:
+def process_of(server: RegisteredServer | BackendServer) -> ServerProcess:
     """Return the process that a registration describes."""
     return ServerProcess(server.server, server.incarnation)
 
--- a/turmericreel/protocols/headers.py
+++ b/turmericreel/protocols/headers.py
@@ -15,6 +15,7 @@
 PRIORITY = "Turmericreel-Priority"
 RESUME_FROM = "Turmericreel-Resume-From"
 REFUSED = "Turmericreel-Refused"
+RATE_LIMIT = "Turmericreel-Rate-Limit"
 
 # Values of the outcome header.  A stream is complete only with its end marker.
 COMPLETED = "Completed"
