Do not hold a rate for a gateway that was lost while a request waited

Its last report counted until the process ended, so that other gateways were told that the leader had nothing left and refused rare requests at once. Found by reading; the new test failed before.

--- a/test/routing/test_server_rates.py
+++ b/test/routing/test_server_rates.py
@@ -384,6 +384,18 @@
     assert leader.demand[PROCESS]["busy"] > 5 * DEMAND_DECAY_S
 
 
+def test_gateway_that_was_lost_while_a_request_waited_does_not_hold_the_rate():
+    lost, other = GatewayRates(), GatewayRates()
+    leader = RateGrants()
+    other.record_answer(PROCESS, 2.0, now=0.0)
+    exchange({"lost": lost, "other": other}, leader, now=0.0)
+    lost.n_waiting[PROCESS] = 1
+    leader.record_report("lost", lost.report(now=0.1), now=0.1)
+    for step in range(1, 10):
+        exchange({"other": other}, leader, now=step * STEP_S)
+    assert other.may_be_granted(PROCESS, now=0.9)
+
+
 def test_refused_clients_return_as_fast_as_there_is_room():
     times = RetryTimes()
     delays = [times.next_s("service", rate=2.0, now=0.0) for _ in range(4)]
--- a/turmericreel/decisions/rate_grants.py
+++ b/turmericreel/decisions/rate_grants.py
@@ -138,7 +138,10 @@
         """Return how many requests each gateway is granted."""
         budget = self._budget(process, rate, now)
         demand = self._decayed_demand(process, gateways, now)
-        waiting = self.waiting.get(process, {})
+        known = self.waiting.get(process, {})
+        # A gateway that was lost while a request waited waits no more.
+        waiting = {g: known[g] for g in gateways if g in known}
+        self.waiting[process] = waiting
         credit = self.credit.setdefault(process, {})
         granted: Counter[InstanceId] = Counter()
         while budget.n_left >= 1.0:
