Do not take an answer from before the end of a server for a sign of life

Bytes that a server sent on one connection before it ended may be read after the end of its other connections. An answer now clears an open attempt only half a second later. Found by reading; the test of answers on an earlier connection, with one more step, failed before.

--- a/test/routing/test_content_quarantine.py
+++ b/test/routing/test_content_quarantine.py
@@ -203,6 +203,7 @@
     opened_at = fixture.clock.monotonic()
     fixture.clock.advance(1.0)
     fixture.guard.record_unresolved(POISON, server, ended=False, is_answered=True)
+    fixture.guard.record_later_answer(server, opened_at=opened_at)
     fixture.clock.advance(1.0)
     later = fixture.clock.monotonic()
     fixture.guard.record_later_answer(server, opened_at=later)
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -36,6 +36,8 @@
 
 # A silent server expires, or registers again, within this time after it ended.
 UNRESOLVED_RETENTION_S = 10.0
+# Answers that a server sent before it ended may be read after its connections closed.
+ANSWER_DELAY_S = 0.5
 # Bounds the memory while many attempts at one server time out.
 MAX_UNRESOLVED_PER_SERVER = 256
 # A copy that is running may prove the content sound soon.
@@ -242,7 +244,12 @@
         """
         process = process_of(server)
         contents = self.unresolved.get(process, {})
-        survived = [k for k, a in contents.items() if opened_at <= a.ended_at]
+        sent_before = self.clock.monotonic() - ANSWER_DELAY_S
+        survived = [
+            key
+            for key, attempt in contents.items()
+            if opened_at <= attempt.ended_at <= sent_before
+        ]
         answered = [key for key in survived if contents.pop(key).is_answered]
         if not contents:
             self.unresolved.pop(process, None)
