Let only a refused content explain the crashes of a prompt part

A content now explains a part only with exactly the crashes after which it is refused; with more it was admitted nevertheless and may have run beside anything.

--- a/test/routing/test_content_quarantine.py
+++ b/test/routing/test_content_quarantine.py
@@ -327,6 +327,14 @@
     assert quarantine.n_unexplained(SYSTEM, now_ms=NOW_MS) == MAX_CRASHES + 1
 
 
+def test_content_that_ran_on_every_ended_server_does_not_clear_a_part():
+    quarantine = quarantine_of(bad="abcd")
+    for name in "abcde":
+        quarantine.record_crash(POISON, process(name), now=0.0, now_ms=NOW_MS)
+    bad = part_digest(PromptPartId("bad"))
+    assert quarantine.n_unexplained(bad, now_ms=NOW_MS) == MAX_CRASHES + 1
+
+
 def test_part_that_no_answer_clears_is_tried_again_less_and_less_often():
     quarantine = ContentQuarantine()
     now_ms, trials = 0, []
--- a/turmericreel/decisions/content_quarantine.py
+++ b/turmericreel/decisions/content_quarantine.py
@@ -292,13 +292,15 @@
     ) -> bool:
         """Return whether all these processes ended under one quarantined content.
 
-        Several contents that ended servers are explained by the part they share.
+        Several contents that ended servers are explained by the part they share.  A
+        content with more crashes than it takes to refuse it was admitted nevertheless,
+        so that it may have run beside anything.
         """
         processes = {crash.process for crash in crashes}
         suspects = self.contents.get(next(iter(processes)), ()) if processes else ()
         return any(
             not is_part(suspect)
-            and self.n_crashes(suspect, now_ms=now_ms) >= MAX_CRASHES
+            and self.n_crashes(suspect, now_ms=now_ms) == MAX_CRASHES
             and processes <= {c.process for c in self._counted(suspect, now_ms)}
             for suspect in suspects
         )
