--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -6,7 +6,7 @@
 send without an end or a length, end under some requests, at times after a whole answer,
 and say that they leave, want a pause or take only some requests a second.  All
 coordinators are lost together at times.  The faults overlap, while clients, operators
-and servers continue over persistent connections.  The invariants are in `soak_traffic`;
+and servers continue over persistent connections.  The invariants are in `soak_checks` and `soak_traffic`;
 in addition, requests must succeed again within `MAX_RECOVERY_S` of the last fault.
 
     python -m test_long.routing_soak --seed 7 --duration 60
@@ -29,6 +29,14 @@
 
 from test_long.loopback_proxy import LinkFault, LoopbackProxy
 from test_long.platform_process import PlatformProcess
+from test_long.soak_checks import (
+    LimitedPeriod,
+    QuietPeriod,
+    check_ends,
+    check_limited_periods,
+    check_quiet_periods,
+    check_runs,
+)
 from test_long.soak_traffic import (
     FATAL_PARTS,
     HEARTBEAT_S,
@@ -37,15 +45,9 @@
     Caller,
     Client,
     Findings,
-    LimitedPeriod,
     OTHER_CAUSE,
     POISON,
     Operator,
-    QuietPeriod,
-    check_ends,
-    check_limited_periods,
-    check_quiet_periods,
-    check_runs,
     send_heartbeat,
 )
 from turmericreel.fakes.routed_server import Misbehaviour, RoutedServer
