--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -6,8 +6,9 @@
 send without an end or a length, end under some requests, at times after a whole answer,
 and say that they leave, want a pause or take only some requests a second.  All
 coordinators are lost together at times.  The faults overlap, while clients, operators
-and servers continue over persistent connections.  The invariants are in `soak_checks` and `soak_traffic`;
-in addition, requests must succeed again within `MAX_RECOVERY_S` of the last fault.
+and servers continue over persistent connections.  The invariants are in `soak_checks`
+and `soak_traffic`; in addition, requests must succeed again within `MAX_RECOVERY_S` of
+the last fault.
 
     python -m test_long.routing_soak --seed 7 --duration 60
 """
