--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -36,6 +36,8 @@
 # Multiple of the latency target that a server may take to begin an answer, extended
 # under pressure. A server that takes longer holds the request without running it.
 HEADER_TIMEOUT_FACTOR = 2.0
+# Time in which a server that sent a byte counts as heard from in the log.
+HEARD_S = 1.0
 UNAVAILABLE_STATUS = 503
 MISDIRECTED_STATUS = 421
 LEAVING = "1"
@@ -138,6 +140,7 @@
             self.metrics.record_attempt_end(_attempt_outcome(error.failure))
             if not isinstance(error.failure, NotRun):
                 self._count_run(request, server)
+            self._log_unreached(request, server, error.failure)
             if not (was_refused(error.failure) or exchange.used_stale_connection):
                 self.loads.record_failure(server.server, now=self.clock.monotonic())
             not_run = isinstance(error.failure, NotRun)
@@ -281,6 +284,23 @@
             left_ms=int((request.deadline - now) * 1_000),
         )
 
+    def _log_unreached(
+        self, request: ClientRequest, server: RegisteredServer, failure: Failure
+    ) -> None:
+        """Log what is known of the path to a server that no byte reached."""
+        if not isinstance(failure, NotRun) or was_refused(failure):
+            return
+        now = self.clock.monotonic()
+        log_message(
+            "gateway:server_unreached",
+            request=request.attempt_id,
+            server=server.server,
+            address=server.address,
+            reason=failure.detail,
+            silent_ms=self.loads.silent_ms(server.server, now=now),
+            n_heard=self.loads.n_heard(since=now - HEARD_S),
+        )
+
     def _record_load_report(
         self, server: RegisteredServer, server_answer: ForwardedAnswer, now: float
     ) -> None:
--- a/turmericreel/gateway/server_loads.py
+++ b/turmericreel/gateway/server_loads.py
@@ -132,6 +132,15 @@
         load.n_failures += 1
         load.pause_deadline = now + pause_s
 
+    def silent_ms(self, server: BackendServerId, *, now: float) -> int | None:
+        """Return the time since the last byte from a server; None without any."""
+        last_byte_at = self.of(server).last_byte_at
+        return int((now - last_byte_at) * 1_000) if last_byte_at else None
+
+    def n_heard(self, *, since: float) -> int:
+        """Return the number of servers that sent a byte since a time."""
+        return sum(load.last_byte_at >= since for load in self.loads.values())
+
     def drop_unregistered(self, present: set[BackendServerId]) -> None:
         """Drop the loads of idle servers that are not in `present`."""
         for server in list(self.loads):
