Add failing tests for gateways that reach no server

Six gateways, four servers that go on sending heartbeats, three coordinators; one or five of the gateways are cut off from all servers.

--- /dev/null
+++ b/test/routing/test_cut_off_gateways.py
@@ -0,0 +1,77 @@
+"""Gateways that reach no server serve their clients through other gateways."""
+
+from time import monotonic
+
+import pytest
+from gevent import sleep, spawn
+
+from test.routing.gateway_paths import Cut, FirstTries, GatewayPaths
+from test.routing.library import make_route
+from test.routing.small_system import small_system, stream_route
+from turmericreel.model.routing import RouteKind
+
+N_GATEWAYS = 6
+N_SERVERS = 4
+# Time after the cut from which first tries count.
+CONTACT_S = 3.0
+COUNTED_S = 4.0
+# Of all first tries in that time, those that may fail.
+MAX_FAILED = 10
+MAX_FAILED_FRACTION = 1 / 50
+PER_SECOND = 16.0
+
+
+@pytest.fixture
+def system(tmp_path):
+    with small_system(tmp_path, n_coordinators=3, n_gateways=N_GATEWAYS) as running:
+        running.submit(
+            make_route("/safe/", max_attempts=2),
+            make_route("/unsafe/", kind=RouteKind.UNSAFE, max_attempts=1),
+            stream_route(max_attempts=3),
+        )
+        paths = [GatewayPaths(gateway) for gateway in running.gateways]
+        servers = [running.add_server(f"s{n}") for n in range(N_SERVERS)]
+        beats = spawn(send_heartbeats, running, servers)
+        running.paths = paths
+        yield running
+        beats.kill()
+        for path in paths:
+            path.stop()
+
+
+def send_heartbeats(system, servers) -> None:
+    while True:
+        for server in servers:
+            if not server.is_down:
+                system.send_heartbeat(server.server)
+        sleep(0.5)
+
+
+def run_cut(system, cut_off: set[int], how: Cut) -> tuple[FirstTries, float]:
+    """Cut gateways off from all servers beside traffic; return it and the time."""
+    tries = FirstTries(system, per_second=PER_SECOND)
+    traffic = spawn(tries.run, 1.0 + CONTACT_S + COUNTED_S)
+    sleep(1.0)
+    cut_at = monotonic()
+    for index in cut_off:
+        system.paths[index].cut(how)
+    traffic.get()
+    return tries, cut_at
+
+
+@pytest.mark.parametrize("n_cut_off", [1, 5])
+@pytest.mark.parametrize("how", list(Cut))
+def test_cut_off_gateways_serve_first_tries(system, how, n_cut_off):
+    cut_off = set(range(n_cut_off))
+    tries, cut_at = run_cut(system, cut_off, how)
+    since = cut_at + CONTACT_S
+    counted = {"since": since, "until": since + COUNTED_S}
+    here = tries.n_served(cut_off, **counted)
+    others = tries.n_served(set(range(N_GATEWAYS)) - cut_off, **counted)
+    max_failed = MAX_FAILED + MAX_FAILED_FRACTION * (here.total() + others.total())
+    assert here[False] <= max_failed
+    assert here[True] / here.total() >= 2 / 3 * others[True] / others.total()
+    assert others[False] <= max_failed
+    runs = [run[0] for server in system.servers.values() for run in server.runs]
+    unsafe = [attempt for attempt in runs if "/unsafe/" in attempt]
+    assert len(unsafe) == len(set(unsafe))
