Reach servers through other gateways where the own paths fail

Cause: a gateway knew no way to a server but its own connection, and could not tell a server that is down from a path that is. Now a gateway to which a direct connection fails opens one through another listed gateway, which passes bytes on and decides nothing: server, attempts, budget, rates, account and keys stay with the gateway that the client reached. The other one connects directly or not at all, so a request passes two gateways at most. A path is also checked when a server with requests is silent for half a second, and all others when none was reached lately; direct paths are tried again until they work.

--- a/test/routing/gateway_paths.py
+++ b/test/routing/gateway_paths.py
@@ -1,4 +1,4 @@
-"""Paths from a gateway to servers that tests can cut, and traffic that counts first tries."""
+"""Paths from gateways to servers that tests can cut, and traffic of first tries."""
 
 from collections import Counter
 from contextlib import suppress
@@ -33,12 +33,13 @@
     """The paths of one gateway to all servers."""
 
     def __init__(self, gateway: Gateway):
-        self.connections = gateway.dispatcher.starter.connections
+        self.connections = gateway.connections.direct
         self.connect_to = self.connections.connect
         self.connections.connect = self._connect
+        self.connect_for_others = gateway.relays.connect
+        gateway.relays.connect = self._connect_for_others
         self.proxies: dict[Address, LoopbackProxy] = {}
         self.cut_by: Cut | None = None
-        self.is_open_to = lambda address: True
 
     def cut(self, how: Cut) -> None:
         """Cut the gateway off from all servers."""
@@ -57,12 +58,12 @@
         for proxy in self.proxies.values():
             proxy.stop()
 
+    def _connect_for_others(self, address: Address, *, timeout: float):
+        self._fail_if_cut(timeout)
+        return self.connect_for_others(address, timeout=timeout)
+
     def _connect(self, address: Address, *, timeout: float) -> ServerConnection:
-        if self.cut_by is Cut.HANG:
-            sleep(timeout)
-            raise TimeoutError("cut off")
-        if self.cut_by is not None:
-            raise ConnectionRefusedError(ECONNREFUSED, "cut off")
+        self._fail_if_cut(timeout)
         # A server that is down refuses the connection itself.
         self.connect_to(address, timeout=timeout).close()
         if address not in self.proxies:
@@ -73,6 +74,13 @@
         connection.address = address
         return connection
 
+    def _fail_if_cut(self, timeout: float) -> None:
+        if self.cut_by is Cut.HANG:
+            sleep(timeout)
+            raise TimeoutError("cut off")
+        if self.cut_by is not None:
+            raise ConnectionRefusedError(ECONNREFUSED, "cut off")
+
 
 class FirstTries:
     """Requests of all kinds through all gateways, each sent once.
@@ -102,7 +110,7 @@
         joinall(self.tasks)
 
     def n_served(self, gateways: set[int], *, since: float, until: float) -> Counter:
-        """Return the numbers of requests sent in a time, by whether they were served."""
+        """Return how many requests that were sent in a time were served or not."""
         return Counter(
             status == 200
             for at, index, _, status, _ in self.sent
--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -76,6 +76,7 @@
         self.folder = folder
         self.internal_port = free_port("127.0.0.1")
         self.raft_port = free_port("127.0.0.1")
+        self.relay_port = free_port("127.0.0.1")
         self.control_port = free_port("127.0.0.1")
         self.seeds = tuple(
             f"127.0.1.{n + 1}:{self.control_port}" for n in range(n_coordinators)
@@ -131,6 +132,7 @@
                 client_address=address,
                 seeds=self.seeds,
                 internal_port=self.internal_port,
+                relay_port=self.relay_port,
                 retry_fraction=2.0,
                 retry_window_s=10,
                 list_validity_ms=200,
@@ -259,8 +261,7 @@
     def stop(self) -> None:
         """Stop everything without draining."""
         for gateway in self.gateways:
-            gateway.links.stop()
-            gateway.ingress.stop(timeout=0)
+            gateway.kill()
         for coordinator in self.coordinators:
             coordinator.stop()
         for server in self.servers.values():
--- a/test/routing/test_coordinators.py
+++ b/test/routing/test_coordinators.py
@@ -166,8 +166,7 @@
     sleep(0.1)
     coordinator.stop()
     for gateway in system.gateways:
-        gateway.links.stop()
-        gateway.ingress.stop(timeout=0)
+        gateway.kill()
     restarted = system.start_coordinator(
         coordinator.settings.instance, is_founder=False
     )
--- a/test/routing/test_fatal_prompt_parts.py
+++ b/test/routing/test_fatal_prompt_parts.py
@@ -143,8 +143,7 @@
         "records on disk",
     )
     for gateway in system.gateways:
-        gateway.links.stop()
-        gateway.ingress.stop(timeout=0)
+        gateway.kill()
     for coordinator in system.coordinators:
         coordinator.stop()
     system.coordinators = [
--- a/test/routing/test_poison_requests.py
+++ b/test/routing/test_poison_requests.py
@@ -192,8 +192,7 @@
         "records on disk",
     )
     for gateway in system.gateways:
-        gateway.links.stop()
-        gateway.ingress.stop(timeout=0)
+        gateway.kill()
     for coordinator in system.coordinators:
         coordinator.stop()
     system.coordinators = [
--- a/turmericreel/entry/server_connections.py
+++ b/turmericreel/entry/server_connections.py
@@ -150,6 +150,15 @@
             after its last answer, for requests that would be lost if the server had
             dropped the connection.
         """
+        connection = self.take_idle(address, must_be_fresh=must_be_fresh)
+        if connection is not None:
+            return connection
+        return self.connect(address, timeout=timeout)
+
+    def take_idle(
+        self, address: Address, *, must_be_fresh: bool = False
+    ) -> ServerConnection | None:
+        """Return an idle connection that seems usable; None without one."""
         connections = self.idle.get(address, ())
         now = self.clock.monotonic()
         while connections:
@@ -160,7 +169,7 @@
             if now < connection.idle_deadline and connection.has_no_input():
                 return connection
             connection.close()
-        return self.connect(address, timeout=timeout)
+        return None
 
     def release(
         self, connection: ServerConnection, *, keep_s: float = MAX_IDLE_S
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -6,12 +6,12 @@
 
 from turmericreel.decisions.model_choice import ModelChoice, Pressure
 from turmericreel.decisions.server_availability import parse_pause_s
-from turmericreel.entry.server_connections import ServerConnections
 from turmericreel.gateway.attempts import (
     MIN_SERVER_ERROR_STATUS,
     Attempt,
     AttemptEnd,
     RequestProgress,
+    is_unreached,
     was_refused,
 )
 from turmericreel.gateway.client_request import ClientRequest
@@ -19,6 +19,7 @@
 from turmericreel.gateway.evidence import EvidenceCounter
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.gateway.metrics import AttemptOutcome, GatewayMetrics
+from turmericreel.gateway.path_connections import PathConnections
 from turmericreel.gateway.server_chooser import ServerChooser
 from turmericreel.gateway.server_exchange import ForwardedAnswer, ServerExchange
 from turmericreel.gateway.usage_counter import UsageCounter
@@ -56,6 +57,7 @@
     metrics : GatewayMetrics
     usage : UsageCounter
     guard : CrashGuard
+    connections : PathConnections
     clock : Clock
     """
 
@@ -69,6 +71,7 @@
         metrics: GatewayMetrics,
         usage: UsageCounter,
         guard: CrashGuard,
+        connections: PathConnections,
         clock: Clock,
     ):
         self.chooser = chooser
@@ -80,7 +83,7 @@
         self.guard = guard
         self.clock = clock
         self.loads = chooser.loads
-        self.connections = ServerConnections(clock=clock)
+        self.connections = connections
         self.pressure = Pressure()
 
     def begin(
@@ -140,7 +143,8 @@
             self.metrics.record_attempt_end(_attempt_outcome(error.failure))
             if not isinstance(error.failure, NotRun):
                 self._count_run(request, server)
-            self._log_unreached(request, server, error.failure)
+            if is_unreached(error.failure):
+                self._log_unreached(request, server, error.failure)
             if not (was_refused(error.failure) or exchange.used_stale_connection):
                 self.loads.record_failure(server.server, now=self.clock.monotonic())
             not_run = isinstance(error.failure, NotRun)
@@ -288,8 +292,6 @@
         self, request: ClientRequest, server: RegisteredServer, failure: Failure
     ) -> None:
         """Log what is known of the path to a server that no byte reached."""
-        if not isinstance(failure, NotRun) or was_refused(failure):
-            return
         now = self.clock.monotonic()
         log_message(
             "gateway:server_unreached",
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -155,7 +155,7 @@
         self.is_open = True
         self.first_event_at: float | None = None
         self.parts_are_answered = False
-        loads.of(self.server.server).n_running += 1
+        loads.of(self.server.server).begin_attempt(now=exchange.clock.monotonic())
 
     def end(self, how: AttemptEnd) -> None:
         """Count the end and release the connection; later calls do nothing."""
@@ -198,6 +198,7 @@
             case AttemptEnd.BROKEN if self.exchange.connection_lost:
                 self._log_connection_lost()
                 self.guard.record_lost_connection(content, self.server, parts)
+                self.exchange.connections.on_lost(self.exchange.address)
             case AttemptEnd.BROKEN | AttemptEnd.CANCELLED:
                 self.guard.record_unresolved(
                     content, self.server, parts, ended=self.has_ended(self.server)
@@ -249,6 +250,11 @@
     return isinstance(failure, NotRun) and failure.proof is refused
 
 
+def is_unreached(failure: Failure) -> bool:
+    """Return whether no byte of a request reached a server."""
+    return isinstance(failure, NotRun) and not was_refused(failure)
+
+
 def unknown_outcome_failure(request: ClientRequest, detail: str) -> FailureError:
     """Return the failure of a request that may have run."""
     return FailureError(OutcomeUnknown(request_id=request.attempt_id, detail=detail))
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -10,8 +10,11 @@
 
 from turmericreel.decisions.content_quarantine import choose_trying_instance
 from turmericreel.decisions.model_choice import ConfidenceCascade
+from turmericreel.decisions.relay_choice import RelayChoice
+from turmericreel.decisions.server_paths import PathState, ServerPaths
 from turmericreel.decisions.server_placement import LeastLoaded, SoonestFirstEvent
 from turmericreel.decisions.windowed_budget import WindowedBudget
+from turmericreel.entry.server_connections import ServerConnections
 from turmericreel.gateway.application import GatewayApplication
 from turmericreel.gateway.attempt_starter import AttemptStarter
 from turmericreel.gateway.crash_guard import CrashGuard
@@ -21,7 +24,11 @@
 from turmericreel.gateway.ingress import IngressServer
 from turmericreel.gateway.links import CoordinatorLinks
 from turmericreel.gateway.metrics import GatewayCollector, GatewayMetrics
+from turmericreel.gateway.path_checks import PathChecks
+from turmericreel.gateway.path_connections import PathConnections
 from turmericreel.gateway.recent_sessions import RecentSessions
+from turmericreel.gateway.relay_connections import RelayConnections
+from turmericreel.gateway.relay_listener import RelayListener
 from turmericreel.gateway.server_chooser import ServerChooser
 from turmericreel.gateway.usage_counter import UsageCounter
 from turmericreel.gateway.view import GatewayView
@@ -32,10 +39,11 @@
     Incarnation,
     InstanceId,
 )
+from turmericreel.model.registered_server import ServerState
 from turmericreel.model.routing import ClientLimits, RolloutStage
 from turmericreel.model.routing_codec import RoutingCodec
 from turmericreel.model.routing_settings import GatewaySettings, internal_address
-from turmericreel.protocols.addresses import parse_address
+from turmericreel.protocols.addresses import Address, parse_address
 from turmericreel.protocols.routing_messages import GatewayStatus, GatewayWork
 from turmericreel.util.clock import Clock
 
@@ -100,6 +108,7 @@
         self.evidence = EvidenceCounter()
         rng = SystemRandom()
         metrics = GatewayMetrics(registry=registry)
+        paths = ServerPaths()
         least_loaded = LeastLoaded()
         self.chooser = ServerChooser(
             view=self.view,
@@ -107,9 +116,47 @@
             plain_placement=least_loaded,
             engine_placement=SoonestFirstEvent(fallback=least_loaded),
             sessions=RecentSessions(idle_s=settings.session_idle_ms / 1_000),
+            paths=paths,
             clock=clock,
             rng=rng,
         )
+        own_address = parse_address(settings.client_address)
+        self.connections = PathConnections(
+            direct=ServerConnections(clock=clock),
+            relayed=RelayConnections(
+                gateways=lambda: self.view.gateways,
+                choice=RelayChoice(
+                    instance=settings.instance,
+                    data_centre=settings.data_centre,
+                    rng=rng,
+                ),
+                source_host=own_address.host,
+                address_of=lambda gateway: internal_address(
+                    InstanceId(gateway.client_address), settings.relay_port
+                ),
+                clock=clock,
+            ),
+            paths=paths,
+            clock=clock,
+        )
+        self.relays = RelayListener(
+            address=Address(host=own_address.host, port=settings.relay_port),
+            gateways=lambda: self.view.gateways,
+            is_registered=self._is_registered,
+            paths=paths,
+            clock=clock,
+        )
+        self.path_checks = PathChecks(
+            connections=self.connections,
+            loads=self.chooser.loads,
+            servers=lambda: [
+                s for servers in self.view.by_service.values() for s in servers
+            ],
+            clock=clock,
+            rng=rng,
+        )
+        self.connections.on_direct_failure = self.path_checks.check_others
+        self.connections.on_lost = self.path_checks.check
         starter = AttemptStarter(
             chooser=self.chooser,
             names=names,
@@ -118,6 +165,7 @@
             metrics=metrics,
             usage=self.usage,
             guard=self.guard,
+            connections=self.connections,
             clock=clock,
         )
         budget = WindowedBudget(
@@ -143,6 +191,9 @@
             n_unavailable=self.chooser.n_unavailable,
             n_rate_limited=self.chooser.rates.rates.n_limited,
             n_refused_by_rates=lambda: self.chooser.rates.n_refused,
+            n_relayed=lambda: paths.n_in(PathState.RELAYED),
+            n_relays=lambda: self.relays.n_relays,
+            n_opened_through_others=lambda: self.connections.relayed.n_opened,
             n_log_lines_dropped=n_log_lines_dropped,
         )
         registry.register(collector)
@@ -167,6 +218,8 @@
     def start(self) -> None:
         """Listen for clients and connect to coordinators."""
         self.ingress.start()
+        self.relays.start()
+        self.path_checks.start()
         self.links.start()
         log_message(
             "gateway:started",
@@ -224,6 +277,12 @@
             rates=self.chooser.rates.report(),
         )
 
+    def _is_registered(self, address: str) -> bool:
+        return any(
+            server.address == address and server.state is not ServerState.GONE
+            for server in self.view.servers.values()
+        )
+
     def _limit_report(self) -> GatewayWork:
         return GatewayWork(work_ms={}, rates=self.chooser.rates.observations())
 
@@ -247,6 +306,7 @@
         log_message("gateway:stopping", n_running=self.application.n_running)
         self.application.stopping = True
         self.links.report_now()
+        self.relays.stop_accepting()
         listed_for_s = (
             self.settings.list_validity_ms / 1_000 * ADDRESS_LIST_VALIDITY_FACTOR
         )
@@ -262,10 +322,22 @@
             n_cut=self.application.n_running,
             usage_settled=self.usage.is_settled,
         )
+        self.path_checks.stop()
         self.links.stop()
 
+    def kill(self) -> None:
+        """Stop at once, and cut off what is running."""
+        self.links.stop()
+        self.path_checks.stop()
+        self.ingress.stop(timeout=0)
+        self.relays.stop()
+
     def _is_busy(self) -> bool:
-        return self.application.n_running > 0 or not self.usage.is_settled
+        return (
+            self.application.n_running > 0
+            or self.relays.n_relays > 0
+            or not self.usage.is_settled
+        )
 
     def _client_limits(self) -> ClientLimits:
         if self.view.table is None:
@@ -275,5 +347,6 @@
     def _on_view_change(self) -> None:
         self.chooser.drop_unregistered()
         self.guard.drop_expired()
+        self.connections.relayed.drop_unlisted()
         self.links.trigger_choice()
         self.links.report_now()
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -103,6 +103,12 @@
         Returns the number of servers that name a limit on their requests.
     n_refused_by_rates : callable
         Returns the number of requests refused because of such limits since the start.
+    n_relayed : callable
+        Returns the number of servers that are reached through other gateways.
+    n_relays : callable
+        Returns the number of connections that are open for other gateways.
+    n_opened_through_others : callable
+        Returns the number of connections opened through other gateways since the start.
     n_log_lines_dropped : callable
         Returns the number of log lines dropped since the start.
     """
@@ -117,6 +123,9 @@
         n_unavailable: Callable[[], int],
         n_rate_limited: Callable[[], int],
         n_refused_by_rates: Callable[[], int],
+        n_relayed: Callable[[], int],
+        n_relays: Callable[[], int],
+        n_opened_through_others: Callable[[], int],
         n_log_lines_dropped: Callable[[], int],
     ):
         self.view = view
@@ -126,6 +135,9 @@
         self.n_unavailable = n_unavailable
         self.n_rate_limited = n_rate_limited
         self.n_refused_by_rates = n_refused_by_rates
+        self.n_relayed = n_relayed
+        self.n_relays = n_relays
+        self.n_opened_through_others = n_opened_through_others
         self.n_log_lines_dropped = n_log_lines_dropped
 
     def collect(self) -> Iterator[Metric]:
@@ -170,6 +182,21 @@
             "Attempts refused because all servers had got as many as they take.",
             value=self.n_refused_by_rates(),
         )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_relayed_servers",
+            "Servers that are reached through other gateways.",
+            value=self.n_relayed(),
+        )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_relays",
+            "Connections to servers that are open for other gateways.",
+            value=self.n_relays(),
+        )
+        yield CounterMetricFamily(
+            "turmericreel_gateway_opened_through_others",
+            "Connections to servers that were opened through other gateways.",
+            value=self.n_opened_through_others(),
+        )
         servers = GaugeMetricFamily(
             "turmericreel_gateway_servers",
             "Registered servers by state.",
--- /dev/null
+++ b/turmericreel/gateway/relay_listener.py
@@ -0,0 +1,208 @@
+"""Opens connections to servers for gateways that do not reach them.
+
+Only listed gateways may use it, and only for registered servers.  A connection is
+opened directly or not at all, so it never passes through more than two gateways.
+"""
+
+import contextlib
+from collections.abc import Callable, Iterable
+from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
+from struct import pack
+
+from eliot import log_message
+from gevent import spawn
+from gevent.server import StreamServer
+from gevent.socket import create_connection, socket
+
+from turmericreel.decisions.server_paths import PathState, ServerPaths
+from turmericreel.membership.instance_registry import GatewayInstance
+from turmericreel.model.failures import FailureError
+from turmericreel.protocols.addresses import Address, parse_address
+from turmericreel.protocols.frames import FrameStream
+from turmericreel.protocols.relay_messages import (
+    OpenRelay,
+    RelayFailed,
+    RelayObstacle,
+    RelayOpened,
+)
+from turmericreel.protocols.sockets import set_unacknowledged_timeout
+from turmericreel.util.clock import Clock
+
+# Bounds what other gateways may use of the descriptors and memory of this one.
+MAX_RELAYS = 256
+HANDSHAKE_TIMEOUT_S = 1.0
+MAX_TIMEOUT_S = 0.4
+# Of the time for which the other gateway waits, what is left for its answer.
+ANSWER_MARGIN_S = 0.03
+BLOCK_BYTES = 65_536
+
+
+class RelayListener:
+    """Task that accepts other gateways and passes their bytes on to servers.
+
+    Parameters
+    ----------
+    address : Address
+    gateways : callable
+        Returns the listed gateways.
+    is_registered : callable
+        Returns whether a server is registered at an address ``ip:port``.
+    paths : ServerPaths
+        Paths of this gateway.
+    clock : Clock
+
+    Attributes
+    ----------
+    n_relays : int
+        Connections that are open for other gateways.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        gateways: Callable[[], Iterable[GatewayInstance]],
+        is_registered: Callable[[str], bool],
+        paths: ServerPaths,
+        clock: Clock,
+    ):
+        self.gateways = gateways
+        self.is_registered = is_registered
+        self.paths = paths
+        self.clock = clock
+        self.n_relays = 0
+        self.listener = StreamServer((address.host, address.port), self._serve)
+
+    def start(self) -> None:
+        """Start listening."""
+        self.listener.start()
+
+    def stop_accepting(self) -> None:
+        """Stop listening; open connections go on."""
+        self.listener.close()
+
+    def stop(self) -> None:
+        """Stop listening, and cut off all connections."""
+        self.listener.stop(timeout=0)
+
+    def connect(self, address: Address, *, timeout: float) -> socket:
+        """Open a connection to a server.
+
+        Raises
+        ------
+        OSError
+        """
+        return create_connection((address.host, address.port), timeout=timeout)
+
+    def _serve(self, caller: socket, peer: tuple) -> None:
+        stream = FrameStream(
+            sock=caller, message_type=OpenRelay, idle_timeout_s=HANDSHAKE_TIMEOUT_S
+        )
+        self.n_relays += 1
+        server = None
+        try:
+            request = stream.receive()
+            if request is None:
+                return
+            refused = self._refusal(request, peer[0])
+            if refused is None:
+                server, refused = self._open(request)
+            if refused is not None:
+                self._log_refused(request, peer[0], refused)
+                stream.send(refused)
+                return
+            stream.send(RelayOpened())
+            self._relay(caller, server)
+        except FailureError as error:
+            log_message(
+                "gateway:relay_broken", gateway=peer[0], reason=error.failure.describe()
+            )
+        finally:
+            self.n_relays -= 1
+            stream.close()
+            if server is not None:
+                server.close()
+
+    def _refusal(self, request: OpenRelay, host: str) -> RelayFailed | None:
+        """Return why a connection is not opened, before any attempt."""
+        listed = {parse_address(g.client_address).host for g in self.gateways()}
+        if host not in listed:
+            return _failed(RelayObstacle.GATEWAY, "not a listed gateway")
+        if not self.is_registered(request.server_address):
+            return _failed(RelayObstacle.PATH, "not a registered server")
+        if self.n_relays > MAX_RELAYS:
+            return _failed(RelayObstacle.GATEWAY, "too many connections")
+        state = self.paths.state_of(request.server_address, now=self.clock.monotonic())
+        if state is PathState.RELAYED:
+            return _failed(self._obstacle(), "no direct path")
+        return None
+
+    def _obstacle(self, error: OSError | None = None) -> RelayObstacle:
+        """Return what a direct path that fails shows, with the error of an attempt."""
+        if self.paths.is_cut_off(now=self.clock.monotonic()):
+            return RelayObstacle.GATEWAY
+        if isinstance(error, ConnectionRefusedError):
+            return RelayObstacle.SERVER
+        return RelayObstacle.PATH
+
+    def _open(self, request: OpenRelay) -> tuple[socket | None, RelayFailed | None]:
+        address = request.server_address
+        timeout_s = min(request.timeout_ms / 1_000 - ANSWER_MARGIN_S, MAX_TIMEOUT_S)
+        try:
+            server = self.connect(parse_address(address), timeout=max(timeout_s, 0.01))
+        except OSError as error:
+            self.paths.record_failed(address, now=self.clock.monotonic())
+            return None, _failed(self._obstacle(error), str(error))
+        self.paths.record_reached(address, now=self.clock.monotonic())
+        set_unacknowledged_timeout(server)
+        server.settimeout(None)
+        return server, None
+
+    def _relay(self, caller: socket, server: socket) -> None:
+        """Pass bytes on in both directions until either end closes."""
+        caller.settimeout(None)
+        backward = spawn(_pass_on, server, caller)
+        _pass_on(caller, server)
+        backward.join()
+
+    def _log_refused(self, request: OpenRelay, host: str, failed: RelayFailed) -> None:
+        log_message(
+            "gateway:relay_refused",
+            gateway=host,
+            address=request.server_address,
+            obstacle=failed.obstacle.value,
+            reason=failed.detail,
+        )
+
+
+def _failed(obstacle: RelayObstacle, detail: str) -> RelayFailed:
+    return RelayFailed(obstacle=obstacle, detail=detail)
+
+
+def _pass_on(source: socket, sink: socket) -> None:
+    """Pass bytes on until the source ends, and then end both connections.
+
+    A reset is passed on as one: it must not look like the end of an answer that has no
+    length.
+    """
+    try:
+        while block := source.recv(BLOCK_BYTES):
+            sink.sendall(block)
+    except OSError:
+        # The other end sees a reset.
+        _reset(sink)
+        return
+    _shut_down(sink)
+    _shut_down(source)
+
+
+def _shut_down(sock: socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(SHUT_RDWR)
+
+
+def _reset(sock: socket) -> None:
+    """Close a socket with a reset, which also wakes a greenlet that reads from it."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+    sock.close()
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -7,6 +7,7 @@
 
 from turmericreel.decisions.prompt_work import PrefillSpeed, PromptWork
 from turmericreel.decisions.server_availability import ServerAvailability
+from turmericreel.decisions.server_paths import PathState, ServerPaths
 from turmericreel.decisions.server_placement import Candidate, Placement, Prompt
 from turmericreel.decisions.version_split import servers_for_rollout, session_hash
 from turmericreel.gateway.client_request import ClientRequest
@@ -51,6 +52,7 @@
     plain_placement, engine_placement : Placement
         For requests without and with a prefix key (see `ClientRequest`).
     sessions : RecentSessions
+    paths : ServerPaths
     clock : Clock
     rng : Random
     """
@@ -63,6 +65,7 @@
         plain_placement: Placement,
         engine_placement: Placement,
         sessions: RecentSessions,
+        paths: ServerPaths,
         clock: Clock,
         rng: Random,
     ):
@@ -71,6 +74,7 @@
         self.plain_placement = plain_placement
         self.engine_placement = engine_placement
         self.sessions = sessions
+        self.paths = paths
         self.clock = clock
         self.rng = rng
         self.loads = ServerLoads()
@@ -114,7 +118,7 @@
         ready = self.rates.ready_servers(request, service, untried)
         now = self.clock.monotonic()
         healthy = [s for s in ready if not self.loads.is_paused(s.server, now=now)]
-        servers = healthy or ready
+        servers = self._best_reached(healthy or ready, now)
         placement = self.plain_placement
         if request.prefix_key:
             placement = self.engine_placement
@@ -132,6 +136,19 @@
             rng=self.rng,
         )
 
+    def _best_reached(
+        self, servers: list[RegisteredServer], now: float
+    ) -> list[RegisteredServer]:
+        """Return the servers with a direct path, or else with one that works."""
+        if not self.paths.not_direct:
+            return servers
+        states = {s.server: self.paths.state_of(s.address, now=now) for s in servers}
+        for state in (PathState.DIRECT, PathState.RELAYED):
+            reached = [s for s in servers if states[s.server] is state]
+            if reached:
+                return reached
+        return servers
+
     def receive_work(self, work: ServerWork) -> None:
         """Record the servers' pending prefill work, and which are not to be used."""
         if work.rates:
@@ -176,6 +193,7 @@
         }
         self.availability.drop_unregistered(present, now=self.clock.monotonic())
         self.rates.rates.drop_unregistered(present)
+        self.paths.drop_unregistered(s.address for s in self.view.servers.values())
 
     def record_session(
         self, request: ClientRequest, server: RegisteredServer, now: float
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -5,7 +5,7 @@
 from eliot import log_message
 
 from turmericreel.entry.server_answer import ServerAnswer
-from turmericreel.entry.server_connections import ServerConnection, ServerConnections
+from turmericreel.entry.server_connections import ServerConnection
 from turmericreel.gateway.answer_buffer import AnswerBuffer
 from turmericreel.gateway.client_request import (
     ClientRequest,
@@ -14,6 +14,8 @@
     end_to_end_headers,
 )
 from turmericreel.gateway.header_names import HeaderNames
+from turmericreel.gateway.path_connections import PathConnections
+from turmericreel.gateway.relay_connections import RelayedConnection
 from turmericreel.gateway.server_loads import ServerLoad
 from turmericreel.model.failures import (
     FailureError,
@@ -26,7 +28,6 @@
 from turmericreel.protocols.addresses import parse_address
 from turmericreel.util.clock import Clock
 
-CONNECT_TIMEOUT_S = 0.5
 # Idle time after which a server that announces no limit may close a connection.
 DEFAULT_KEEP_ALIVE_S = 0.5
 # Margin before a server's announced idle limit, as the next request takes time to
@@ -134,7 +135,7 @@
     header_deadline : float
         When the header of the answer must be complete, in seconds on the monotonic
         clock.
-    connections : ServerConnections
+    connections : PathConnections
     names : HeaderNames
     clock : Clock
     deadline : float
@@ -157,13 +158,14 @@
         load: ServerLoad,
         idle_timeout_s: float | None,
         header_deadline: float,
-        connections: ServerConnections,
+        connections: PathConnections,
         names: HeaderNames,
         clock: Clock,
         deadline: float,
     ):
         self.request = request
         self.server = server
+        self.address = parse_address(server.address)
         self.load = load
         self.idle_timeout_s = idle_timeout_s
         self.header_deadline = header_deadline
@@ -176,6 +178,11 @@
         self.used_stale_connection = False
         self.sending_failed = False
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether the connection goes through another gateway."""
+        return isinstance(self.connection, RelayedConnection)
+
     @property
     def connection_lost(self) -> bool:
         """Whether the server closed or reset the connection before its answer ended."""
@@ -224,6 +231,8 @@
             )
             if self.used_stale_connection:
                 self.connections.close_idle(self.connection.address)
+            if self.answer.timed_out:
+                self.connections.record_silence(self.connection)
             raise self._outcome_unknown(error.failure.describe()) from error
         self.answer.deadline = self.deadline
         self.answer.set_idle_timeout(None)
@@ -253,16 +262,13 @@
             connection.close()
 
     def _connect(self) -> ServerConnection:
-        address = parse_address(self.server.address)
-        left = self.deadline - self.clock.monotonic()
         try:
             return self.connections.acquire(
-                address,
-                timeout=min(CONNECT_TIMEOUT_S, max(left, 0.001)),
+                self.address,
+                deadline=self.deadline,
                 must_be_fresh=not self.request.route.is_idempotent,
             )
         except OSError as error:
-            self.connections.close_idle(address)
             raise _not_run(
                 NotRunReason.NO_HEALTHY_SERVER,
                 ProofKind.CONNECTION_REFUSED,
--- a/turmericreel/gateway/server_loads.py
+++ b/turmericreel/gateway/server_loads.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import inf
 
 from eliot import log_message
 from msgspec.structs import replace
@@ -40,6 +41,8 @@
         Until when the server is paused after a failure.
     last_byte_at : float
         When the last byte from the server arrived, on any connection.
+    busy_since : float
+        Since when requests of this gateway have been running at the server.
     """
 
     n_running: int = 0
@@ -49,6 +52,18 @@
     n_failures: int = 0
     pause_deadline: float = 0.0
     last_byte_at: float = 0.0
+    busy_since: float = 0.0
+
+    def begin_attempt(self, *, now: float) -> None:
+        """Count a request that is sent."""
+        if not self.n_running:
+            self.busy_since = now
+        self.n_running += 1
+
+    @property
+    def waiting_since(self) -> float:
+        """Since when requests wait for a byte of the server; infinite without any."""
+        return max(self.busy_since, self.last_byte_at) if self.n_running else inf
 
     def estimate(self, *, now: float) -> float:
         """Return the estimated number of requests at the server."""
--- a/turmericreel/model/routing_settings.py
+++ b/turmericreel/model/routing_settings.py
@@ -17,6 +17,9 @@
         Coordinators to contact first; the id of an instance is its control address.
     internal_port : int
         Port on which coordinators accept instances, the same on all machines.
+    relay_port : int
+        Port on which gateways open connections to servers for each other, the same on
+        all machines.
     retry_fraction : float
         Maximum number of retries over all gateways, as a fraction of the requests in
         the same window.
@@ -37,6 +40,7 @@
     client_address: str
     seeds: tuple[InstanceId, ...]
     internal_port: int
+    relay_port: int
     retry_fraction: float
     retry_window_s: float
     list_validity_ms: int
--- a/turmericreel/platform/settings.py
+++ b/turmericreel/platform/settings.py
@@ -55,6 +55,7 @@
         client_address=settings.listen.frontend,
         seeds=seeds_of(settings),
         internal_port=settings.internal_port_range[0],
+        relay_port=settings.internal_port_range[0] + 2,
         retry_fraction=settings.bounds.retry_budget_ratio,
         retry_window_s=settings.bounds.retry_window_s,
         list_validity_ms=validity_ms,
