Do not blame requests and servers for paths that a gateway has lost

Cause: a lost connection counts as the end of its server until heartbeats show otherwise, and every failed attempt as a failure of its server. Now the path is checked at once; where another gateway reaches the server, the losses of direct connections in the last 1.5 s are taken back (they count if the process proves to have ended), failures not reported yet are dropped, and a request that reached no server gives its share of a rate back.

--- a/test/routing/test_cut_off_gateways.py
+++ b/test/routing/test_cut_off_gateways.py
@@ -3,11 +3,11 @@
 from time import monotonic
 
 import pytest
-from gevent import sleep, spawn
+from gevent import joinall, sleep, spawn
 
 from test.routing.gateway_paths import Cut, FirstTries, GatewayPaths
 from test.routing.library import make_route
-from test.routing.small_system import small_system, stream_route
+from test.routing.small_system import NAMES, small_system, stream_route
 from turmericreel.model.routing import RouteKind
 
 N_GATEWAYS = 6
@@ -75,3 +75,34 @@
     runs = [run[0] for server in system.servers.values() for run in server.runs]
     unsafe = [attempt for attempt in runs if "/unsafe/" in attempt]
     assert len(unsafe) == len(set(unsafe))
+
+
+def send_stream_with_part(system, index: int, number: int) -> int:
+    return system.send(
+        f"/stream/{index}-{number}",
+        attempt=f"stream-{index}-{number}",
+        body=b"x",
+        gateway_index=index,
+        **{NAMES.prompt_parts: f"shared:10,own-{index}-{number}:10"},
+    )
+
+
+def test_gateways_that_lose_their_paths_blame_no_request_and_no_server(system):
+    for server in system.servers.values():
+        server.event_pause_s = 0.2
+    running = [
+        spawn(send_stream_with_part, system, index, number)
+        for index in range(N_GATEWAYS)
+        for number in range(N_SERVERS)
+    ]
+    sleep(0.4)
+    for paths in system.paths[:-1]:
+        paths.cut(Cut.RESET)
+    sleep(0.3)
+    assert all(g.guard.n_quarantined() == 0 for g in system.gateways)
+    assert send_stream_with_part(system, N_GATEWAYS - 1, N_SERVERS) == 200
+    joinall(running)
+    assert all(
+        gateway.chooser.loads.n_suspended(now=monotonic()) == 0
+        for gateway in system.gateways
+    )
--- a/turmericreel/decisions/content_quarantine.py
+++ b/turmericreel/decisions/content_quarantine.py
@@ -140,6 +140,13 @@
             ]
         )
 
+    def refute(
+        self, content: ContentDigest, process: ServerProcess
+    ) -> list[ServerCrash]:
+        """Refute one crash, and return the change."""
+        crash = self.crashes.get(content, {}).get(process)
+        return self._refute([crash]) if crash is not None else []
+
     def record_heartbeat(
         self, process: ServerProcess, *, now: float
     ) -> list[ServerCrash]:
--- a/turmericreel/decisions/gateway_rates.py
+++ b/turmericreel/decisions/gateway_rates.py
@@ -160,6 +160,17 @@
         else:
             self._local_share(process, rate, now).n_allowed -= 1.0
 
+    def give_back(self, process: ServerProcess, *, now: float) -> None:
+        """Take back the count of a request that did not reach a process."""
+        rate = self.known.rate_of(process)
+        if rate is None:
+            return
+        if now < self.leader_deadline:
+            # The leader may grant it again.
+            self.n_returned[process] += 1
+        else:
+            self._local_share(process, rate, now).n_allowed += 1.0
+
     def count_wanted(self, process: ServerProcess) -> None:
         """Count a request that could be sent to a process."""
         if self.known.rate_of(process) is not None:
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -144,6 +144,7 @@
             if not isinstance(error.failure, NotRun):
                 self._count_run(request, server)
             if is_unreached(error.failure):
+                self.chooser.rates.give_back(server)
                 self._log_unreached(request, server, error.failure)
             if not (was_refused(error.failure) or exchange.used_stale_connection):
                 self.loads.record_failure(server.server, now=self.clock.monotonic())
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -197,7 +197,12 @@
                 self._record_answer()
             case AttemptEnd.BROKEN if self.exchange.connection_lost:
                 self._log_connection_lost()
-                self.guard.record_lost_connection(content, self.server, parts)
+                self.guard.record_lost_connection(
+                    content,
+                    self.server,
+                    parts,
+                    is_direct=not self.exchange.is_relayed,
+                )
                 self.exchange.connections.on_lost(self.exchange.address)
             case AttemptEnd.BROKEN | AttemptEnd.CANCELLED:
                 self.guard.record_unresolved(
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -43,6 +43,8 @@
 # A copy that is running may prove the content sound soon.
 BUSY_RETRY_AFTER_MS = 250
 OK_STATUS = 200
+# A lost path is noticed and told from an ended server within this time.
+CUT_PATH_S = 1.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -86,6 +88,9 @@
         Quarantined parts of the attempts that try them now.
     failed_trials : set of ContentDigest
         Parts under which a server ended again when they were tried.
+    lost : dict of ServerProcess to dict of ContentDigest to float
+        Contents whose direct connections were lost lately, and when, in seconds on the
+        monotonic clock.
     unresolved : dict of ServerProcess to dict of ContentDigest to UnresolvedAttempt
         Contents whose last attempts count as crashes if the process ends in time.
     """
@@ -106,6 +111,7 @@
         self.n_running: Counter[ContentDigest] = Counter()
         self.trials: set[ContentDigest] = set()
         self.failed_trials: set[ContentDigest] = set()
+        self.lost: dict[ServerProcess, dict[ContentDigest, float]] = {}
         self.unresolved: dict[
             ServerProcess, dict[ContentDigest, UnresolvedAttempt]
         ] = {}
@@ -182,10 +188,50 @@
         content: ContentDigest,
         server: RegisteredServer,
         parts: Sequence[ContentDigest] = (),
+        *,
+        is_direct: bool = False,
     ) -> None:
-        """Record that a server closed or reset the connection of an attempt."""
+        """Record that a server closed or reset the connection of an attempt.
+
+        Parameters
+        ----------
+        content : ContentDigest
+        server : RegisteredServer
+        parts : sequence of ContentDigest
+        is_direct : bool
+            Whether the connection would have been lost with the path to the server too.
+        """
         self.failed_trials |= self.trials.intersection(parts)
-        self._record_crashes([content, *self._suspected(parts)], server)
+        keys = [content, *self._suspected(parts)]
+        self._record_crashes(keys, server)
+        if is_direct:
+            lost = self.lost.setdefault(process_of(server), {})
+            lost.update(dict.fromkeys(keys, self.clock.monotonic()))
+
+    def record_cut_path(self, process: ServerProcess) -> None:
+        """Record that only this gateway has lost its path to a process.
+
+        The connections that it lost just before show no end of the process; if it ends
+        nevertheless, they count.
+        """
+        now = self.clock.monotonic()
+        keys = [
+            key
+            for key, lost_at in self.lost.pop(process, {}).items()
+            if now < lost_at + CUT_PATH_S
+        ]
+        if not keys:
+            return
+        refuted = [c for key in keys for c in self.quarantine.refute(key, process)]
+        self._log_refuted(refuted, CrashRefutation.CUT_PATH)
+        self._report(refuted)
+        contents = self.unresolved.setdefault(process, {})
+        for key in keys:
+            contents[key] = UnresolvedAttempt(
+                ended_at=now,
+                deadline=now + UNRESOLVED_RETENTION_S,
+                is_answered=False,
+            )
 
     def record_unresolved(
         self,
@@ -286,6 +332,9 @@
             log_message("gateway:crashes_expired", content=content)
         self.failed_trials.intersection_update(self.quarantine.crashes)
         now = self.clock.monotonic()
+        for process, lost in list(self.lost.items()):
+            if all(lost_at + CUT_PATH_S <= now for lost_at in lost.values()):
+                del self.lost[process]
         for process, contents in list(self.unresolved.items()):
             if all(attempt.deadline <= now for attempt in contents.values()):
                 del self.unresolved[process]
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -34,6 +34,7 @@
 from turmericreel.gateway.view import GatewayView
 from turmericreel.membership.instance_registry import GatewayInstance, addresses_for
 from turmericreel.model.ids import (
+    BackendServerId,
     ContentDigest,
     DataCentreId,
     Incarnation,
@@ -43,6 +44,7 @@
 from turmericreel.model.routing import ClientLimits, RolloutStage
 from turmericreel.model.routing_codec import RoutingCodec
 from turmericreel.model.routing_settings import GatewaySettings, internal_address
+from turmericreel.model.server_crash import process_of
 from turmericreel.protocols.addresses import Address, parse_address
 from turmericreel.protocols.routing_messages import GatewayStatus, GatewayWork
 from turmericreel.util.clock import Clock
@@ -157,6 +159,7 @@
         )
         self.connections.on_direct_failure = self.path_checks.check_others
         self.connections.on_lost = self.path_checks.check
+        self.connections.on_relayed = self._record_cut_path
         starter = AttemptStarter(
             chooser=self.chooser,
             names=names,
@@ -272,17 +275,32 @@
     def _work_report(self) -> GatewayWork:
         return GatewayWork(
             work_ms=self.chooser.work.report(),
-            outcomes=self.chooser.loads.collect_outcomes(),
+            outcomes=self.chooser.loads.collect_outcomes(held=self._checked_servers()),
             leaving=self.chooser.leaving_servers(),
             rates=self.chooser.rates.report(),
         )
 
+    def _checked_servers(self) -> set[BackendServerId]:
+        """Return the servers whose failures may be those of the path to them."""
+        running = self.path_checks.running
+        if not running:
+            return set()
+        servers = self.view.servers.values()
+        return {s.server for s in servers if s.address in running}
+
     def _is_registered(self, address: str) -> bool:
         return any(
             server.address == address and server.state is not ServerState.GONE
             for server in self.view.servers.values()
         )
 
+    def _record_cut_path(self, address: str) -> None:
+        """Take back what lost connections seemed to tell of the servers there."""
+        for server in self.view.servers.values():
+            if server.address == address:
+                self.guard.record_cut_path(process_of(server))
+                self.chooser.loads.forget_failures(server.server)
+
     def _limit_report(self) -> GatewayWork:
         return GatewayWork(work_ms={}, rates=self.chooser.rates.observations())
 
--- a/turmericreel/gateway/server_loads.py
+++ b/turmericreel/gateway/server_loads.py
@@ -1,6 +1,6 @@
 """Load and recent failures of each server, as one gateway knows them."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from math import inf
 
@@ -118,11 +118,25 @@
         """Return the number of servers that are suspended for all gateways."""
         return len(self.suspended) if now < self.suspended_deadline else 0
 
-    def collect_outcomes(self) -> dict[BackendServerId, ServerOutcomes]:
-        """Return the outcomes of attempts since the last call, and clear them."""
-        collected, self.outcomes = self.outcomes, {}
+    def collect_outcomes(
+        self, *, held: Container[BackendServerId] = ()
+    ) -> dict[BackendServerId, ServerOutcomes]:
+        """Return the outcomes of attempts since the last call, and clear them.
+
+        Those of servers in `held` are kept for a later call.
+        """
+        collected = {s: o for s, o in self.outcomes.items() if s not in held}
+        self.outcomes = {s: o for s, o in self.outcomes.items() if s in held}
         return collected
 
+    def forget_failures(self, server: BackendServerId) -> None:
+        """Drop failures that are not reported yet, and the pause after them."""
+        counted = self.outcomes.get(server, ServerOutcomes())
+        self.outcomes[server] = replace(counted, n_failed=0)
+        load = self.of(server)
+        load.n_failures = 0
+        load.pause_deadline = 0.0
+
     def record_report(
         self, server: BackendServerId, *, n_running: int, n_waiting: int, now: float
     ) -> None:
--- a/turmericreel/gateway/server_rates.py
+++ b/turmericreel/gateway/server_rates.py
@@ -115,6 +115,10 @@
         """Count a request that is sent to a server."""
         self.rates.take(process_of(server), now=self.clock.monotonic())
 
+    def give_back(self, server: RegisteredServer) -> None:
+        """Take back the count of a request that did not reach a server."""
+        self.rates.give_back(process_of(server), now=self.clock.monotonic())
+
     def report(self) -> tuple[RateReport, ...]:
         """Return the report to the leader; see `GatewayRates.report`."""
         return self.rates.report(now=self.clock.monotonic())
--- a/turmericreel/model/server_crash.py
+++ b/turmericreel/model/server_crash.py
@@ -59,13 +59,14 @@
     """What showed that a content did not end a server process.
 
     `ANSWER` is an answer to the content, `EARLIER_ANSWER` one before the crash was
-    reported, `HEARTBEAT` one of the process, and `REPORT` a record of another
-    instance.
+    reported, `HEARTBEAT` one of the process, `CUT_PATH` a connection to it through
+    another gateway, and `REPORT` a record of another instance.
     """
 
     ANSWER = "answer"
     EARLIER_ANSWER = "earlier_answer"
     HEARTBEAT = "heartbeat"
+    CUT_PATH = "cut_path"
     REPORT = "report"
 
 
