--- a/turmericreel/decisions/server_places.py
+++ b/turmericreel/decisions/server_places.py
@@ -1,12 +1,14 @@
 """Divides the places of brittle servers among the gateways.
 
-Intended workload: overloaded servers that fall over when they must refuse more than a few
-requests a second for want of room, before many gateways.  A load report is older than the
-requests that other gateways have sent since, so a gateway that goes by reports sends too
-much.  Instead each gateway has places of its own, and what has no place waits there.
-
-The division needs no messages: all gateways compute it from the same lists.  While these
-differ, two gateways may use the same place; what the servers then refuse slows them down.
+Intended workload: overloaded servers that fall over when they must refuse more than a
+few requests a second for want of room, before many gateways.  A load report is older
+than the requests that other gateways have sent since, so a gateway that goes by reports
+sends too much.  Instead each gateway has places of its own, and what has no place waits
+there.
+
+The division needs no messages: all gateways compute it from the same lists.  While
+these differ, two gateways may use the same place; what the servers then refuse slows
+them down.
 """
 
 from collections.abc import Callable, Iterable, Sequence
--- a/turmericreel/gateway/brittle_servers.py
+++ b/turmericreel/gateway/brittle_servers.py
@@ -137,7 +137,7 @@
         service: ServiceName,
         servers: list[RegisteredServer],
     ) -> list[RegisteredServer]:
-        """Return the servers at which this gateway has a place; wait for one if none is.
+        """Return the servers where this gateway has a free place; wait for one if none.
 
         Raises
         ------
--- a/turmericreel/gateway/path_checks.py
+++ b/turmericreel/gateway/path_checks.py
@@ -100,6 +100,7 @@
     def _run(self) -> None:
         while True:
             sleep(CHECK_INTERVAL_S)
+            self.connections.relayed.close_expired()
             now = self.clock.monotonic()
             for server in self.servers():
                 load = self.loads.loads.get(server.server)
--- a/turmericreel/gateway/relay_connections.py
+++ b/turmericreel/gateway/relay_connections.py
@@ -149,6 +149,16 @@
                     connections.remove(connection)
                     connection.close()
 
+    def close_expired(self) -> None:
+        """Close idle connections that would not be used again.
+
+        The other gateway would hold them open.
+        """
+        now = self.clock.monotonic()
+        for connections in self.idle.values():
+            while connections and now >= connections[0].idle_deadline:
+                connections.popleft().close()
+
     def _open(
         self, gateway: GatewayInstance, address: Address, timeout: float
     ) -> socket.socket:
