Tell the end of a gateway from the end of a server behind it

What a gateway passes back now comes in blocks, and it says how the server's connection ended; a connection that breaks without that is an incomplete answer, and no evidence against the server or the request.

The soak cuts gateways off from all servers, lets servers fall silent for a second and be brittle under a load of their own, and checks first tries and falls.

--- a/test/routing/test_relays.py
+++ b/test/routing/test_relays.py
@@ -256,3 +256,27 @@
     assert not paths.is_cut_off(now=5.0)
     paths.record_failed("s1", now=5.0)
     assert paths.is_cut_off(now=5.1)
+
+
+@pytest.mark.parametrize("is_unframed", [True, False])
+def test_end_of_a_gateway_is_not_taken_for_the_end_of_an_answer_or_a_server(
+    tmp_path, is_unframed
+):
+    with cut_system(tmp_path, n_gateways=2, n_servers=1) as system:
+        server = system.servers["s0"]
+        server.event_pause_s = 0.3
+        if is_unframed:
+            server.misbehaviours.append(Misbehaviour.UNFRAMED_STALLED)
+        sock = system.connect()
+        sock.sendall(
+            b"POST /stream/1 HTTP/1.1\r\nHost: example\r\nAccept: text/event-stream\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        sleep(0.4)
+        # The sockets of a killed process are closed, not reset.
+        system.gateways[1].relays.stop()
+        received = b""
+        while data := sock.recv(4_096):
+            received += data
+        assert not received.endswith(b"0\r\n\r\n")
+        assert system.gateways[0].guard.quarantine.records() == ()
--- a/test_long/loopback_proxy.py
+++ b/test_long/loopback_proxy.py
@@ -4,6 +4,7 @@
 import struct
 from dataclasses import dataclass, field
 from enum import Enum
+from time import monotonic
 
 from gevent import sleep, spawn
 from gevent.server import StreamServer
@@ -40,6 +41,7 @@
         Whether data from the server to its caller is dropped.
     """
 
+    proxy: "LoopbackProxy"
     caller: socket.socket
     server: socket.socket
     delay_s: float = 0.0
@@ -51,6 +53,7 @@
         try:
             while block := source.recv(BLOCK_BYTES):
                 sleep(self.delay_s)
+                self.proxy.wait_for_resumption()
                 if self.drops_all_data or (
                     self.drops_server_data and source is self.server
                 ):
@@ -82,9 +85,16 @@
     ----------
     target : str
         ``ip:port`` that connections are forwarded to.
+
+    Attributes
+    ----------
+    resumes_at : float
+        Until when nothing is forwarded on any connection; seconds on the monotonic
+        clock.
     """
 
     target: str
+    resumes_at: float = 0.0
     proxied_connections: set[ProxiedConnection] = field(default_factory=set)
 
     def __post_init__(self):
@@ -124,6 +134,15 @@
                 case LinkFault.ONE_WAY:
                     connection.drops_server_data = True
 
+    def pause(self, duration_s: float) -> None:
+        """Forward nothing for some seconds, and then everything."""
+        self.resumes_at = monotonic() + duration_s
+
+    def wait_for_resumption(self) -> None:
+        """Wait until the pause has ended."""
+        while (left_s := self.resumes_at - monotonic()) > 0:
+            sleep(left_s)
+
     def _serve(self, caller: socket.socket, peer) -> None:
         address = parse_address(self.target)
         try:
@@ -135,7 +154,7 @@
             caller.close()
             return
         server.settimeout(None)
-        connection = ProxiedConnection(caller=caller, server=server)
+        connection = ProxiedConnection(proxy=self, caller=caller, server=server)
         self.proxied_connections.add(connection)
         backward = spawn(connection.forward, server, caller)
         try:
--- a/test_long/platform_process.py
+++ b/test_long/platform_process.py
@@ -18,7 +18,7 @@
     Parameters
     ----------
     program : str
-        Module of the package `turmericreel.platform`.
+        Module to run.
     host : str
         Loopback address of the process.
     folder : Path
@@ -48,7 +48,7 @@
         self.settings = {**self.settings, "Bootstrap": False}
         log = (self.folder / f"{self.host}.log").open("ab")
         self.process = Popen(
-            [sys.executable, "-m", f"turmericreel.platform.{self.program}"],
+            [sys.executable, "-m", self.program],
             env={**os.environ, "TURMERICREEL_CONFIG": str(path)},
             stdout=log,
             stderr=log,
--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -4,11 +4,12 @@
 connections to servers are delayed, reset and silenced in one or both directions, and
 servers refuse, fail and break off answers, send errors without running the request,
 send without an end or a length, end under some requests, at times after a whole answer,
-and say that they leave, want a pause or take only some requests a second.  All
-coordinators are lost together at times.  The faults overlap, while clients, operators
-and servers continue over persistent connections.  The invariants are in `soak_checks`
-and `soak_traffic`; in addition, requests must succeed again within `MAX_RECOVERY_S` of
-the last fault.
+say that they leave, want a pause, take only some requests a second or fall over when
+they refuse too many, and fall silent for a second.  Gateways are cut off from all
+servers.  All coordinators are lost together at times.  The faults overlap, while
+clients, operators and servers continue over persistent connections.  The invariants are
+in `soak_checks` and `soak_traffic`; in addition, requests must succeed again within
+`MAX_RECOVERY_S` of the last fault.
 
     python -m test_long.routing_soak --seed 7 --duration 60
 """
@@ -22,7 +23,7 @@
 from itertools import count
 from pathlib import Path
 from random import Random, SystemRandom
-from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM, SIGUSR1, SIGUSR2
 from socket import socket
 from time import monotonic
 
@@ -31,14 +32,21 @@
 from test_long.loopback_proxy import LinkFault, LoopbackProxy
 from test_long.platform_process import PlatformProcess
 from test_long.soak_checks import (
+    CONTACT_S,
+    BrittlePeriod,
+    GatewayState,
+    GatewayStates,
     LimitedPeriod,
     QuietPeriod,
+    check_brittle_periods,
     check_ends,
+    check_first_tries,
     check_limited_periods,
     check_quiet_periods,
     check_runs,
 )
 from test_long.soak_traffic import (
+    BRITTLE_SERVICE,
     FATAL_PARTS,
     HEARTBEAT_S,
     LIMITED_SERVICE,
@@ -61,10 +69,12 @@
 N_SEEDS = 3
 # Five coordinators with a disk tolerate the loss of two disks.
 MAX_DISK_LOSSES = 2
-N_GATEWAYS = 3
-# Servers that end under some requests, and those of another service that name rates.
+N_GATEWAYS = 4
+# Servers that end under some requests, and those of other services that name rates and
+# that are brittle.
 N_SERVERS = 3
 N_LIMITED_SERVERS = 2
+N_BRITTLE_SERVERS = 2
 N_CLIENTS = 8
 # Time within which requests must succeed again after the last fault.
 MAX_RECOVERY_S = 12.0
@@ -79,6 +89,20 @@
 # Rates that servers name, in requests a second, and for how long in seconds.
 LIMITS = (0.0, 6.0)
 LIMITED_S = (5.0, 9.0)
+# Of the gateways, those that are cut off together, and for how long in seconds.
+MAX_CUT_OFF = 2
+CUT_S = (4.0, 7.0)
+# Time between two samples of the gateways' states.
+SAMPLE_INTERVAL_S = 0.05
+SILENT_S = 1.0
+# Places of a brittle server, what it bears, and the load of a period in requests a
+# second, which is more than it can serve at times.
+N_PLACES = 4
+N_QUEUED = 12
+PLACE_S = 0.2
+MAX_REFUSALS = 2.0
+BRITTLE_LOAD = (20.0, 100.0)
+BRITTLE_S = (4.0, 7.0)
 MISBEHAVIOURS = (
     Misbehaviour.REFUSE,
     Misbehaviour.FAIL,
@@ -113,24 +137,39 @@
         ]
         self.control = [f"{host}:{self.ports['control']}" for host in hosts]
         self.coordinators = [
-            self._process("coordinator", host, has_disk=n < N_COORDINATORS_WITH_DISK)
+            self._process(
+                "turmericreel.platform.coordinator",
+                host,
+                has_disk=n < N_COORDINATORS_WITH_DISK,
+            )
             for n, host in enumerate(hosts)
         ]
         self.gateways = [
-            self._process("gateway", f"127.0.4.{n + 1}", has_disk=False)
+            self._process(
+                "test_long.cuttable_gateway", f"127.0.4.{n + 1}", has_disk=False
+            )
             for n in range(N_GATEWAYS)
         ]
         self.ending_servers = [_build_server(f"s{n}") for n in range(N_SERVERS)]
         self.limited_servers = [
             _build_server(f"{LIMITED_SERVICE}-{n}") for n in range(N_LIMITED_SERVERS)
         ]
-        self.servers = self.ending_servers + self.limited_servers
+        self.brittle_servers = [
+            _build_server(f"{BRITTLE_SERVICE}-{n}") for n in range(N_BRITTLE_SERVERS)
+        ]
+        for server in self.brittle_servers:
+            server.n_places, server.n_queued = N_PLACES, N_QUEUED
+            server.work_s = PLACE_S
+        self.servers = self.ending_servers + self.limited_servers + self.brittle_servers
         self.proxies: list[LoopbackProxy] = []
         self.findings = Findings()
         self.numbers = count(1)
         self.n_disk_losses = 0
         self.quiet_periods: list[QuietPeriod] = []
         self.limited_periods: list[LimitedPeriod] = []
+        self.brittle_periods: list[BrittlePeriod] = []
+        self.cut_off: set[str] = set()
+        self.gateway_history: list[GatewayStates] = []
         self.running = True
         self.clients_running = True
 
@@ -158,6 +197,10 @@
                 spawn(self._inject_server_faults),
                 spawn(self._inject_link_faults),
                 spawn(self._inject_quiet_periods),
+                spawn(self._inject_silence),
+                spawn(self._inject_cuts),
+                spawn(self._inject_brittle_periods),
+                spawn(self._sample_gateways),
                 *(
                     spawn(self._inject_limits, server)
                     for server in self.limited_servers
@@ -175,6 +218,8 @@
             check_ends(self.servers, self.findings)
             check_quiet_periods(self.quiet_periods, N_GATEWAYS, self.findings)
             check_limited_periods(self.limited_periods, self.findings)
+            check_brittle_periods(self.brittle_periods, self.findings)
+            check_first_tries(self.gateway_history, self.findings)
         finally:
             self.running = False
             for process in processes:
@@ -318,6 +363,74 @@
                 LimitedPeriod(server=server, rate=rate, began=began, ended=monotonic())
             )
 
+    def _inject_silence(self) -> None:
+        """Let sound servers fall silent for a second and go on."""
+        while self.clients_running:
+            sleep(self.rng.uniform(1.0, 3.0))
+            self.rng.choice(self.proxies).pause(SILENT_S)
+
+    def _inject_cuts(self) -> None:
+        """Cut gateways off from all servers, while the other processes have trouble."""
+        while self.clients_running:
+            sleep(self.rng.uniform(0.5, 2.0))
+            free = [g for g in self.gateways if g.is_running and not g.is_under_fault]
+            n_cut_off = min(self.rng.randint(1, MAX_CUT_OFF), len(free))
+            chosen = self.rng.sample(free, n_cut_off)
+            how = self.rng.choice((SIGUSR1, SIGUSR2))
+            for gateway in chosen:
+                gateway.is_under_fault = True
+                self.cut_off.add(gateway.host)
+                gateway.signal(how)
+            deadline = monotonic() + self.rng.uniform(*CUT_S)
+            while self.clients_running and monotonic() < deadline:
+                sleep(SAMPLE_INTERVAL_S)
+            for gateway in chosen:
+                gateway.signal(how)
+                self.cut_off.discard(gateway.host)
+                gateway.is_under_fault = False
+
+    def _sample_gateways(self) -> None:
+        """Record which gateways are cut off or have other trouble."""
+        while self.clients_running:
+            states = {g.host: self._state_of(g) for g in self.gateways}
+            self.gateway_history.append(GatewayStates(at=monotonic(), states=states))
+            sleep(SAMPLE_INTERVAL_S)
+
+    def _state_of(self, gateway: PlatformProcess) -> GatewayState:
+        if gateway.host in self.cut_off:
+            return GatewayState.CUT_OFF
+        if gateway.is_under_fault or not gateway.is_running:
+            return GatewayState.TROUBLED
+        return GatewayState.CALM
+
+    def _inject_brittle_periods(self) -> None:
+        """Let servers be brittle for some seconds, under a load of their own."""
+        while self.clients_running:
+            sleep(self.rng.uniform(0.0, 2.0))
+            load, began = self.rng.uniform(*BRITTLE_LOAD), monotonic()
+            ended = began + self.rng.uniform(*BRITTLE_S)
+            for server in self.brittle_servers:
+                server.max_refusals = MAX_REFUSALS
+            while self.clients_running and monotonic() < ended:
+                spawn(self._send_to_brittle)
+                sleep(1 / load)
+                if monotonic() > began + CONTACT_S:
+                    for server in self.brittle_servers:
+                        server.n_queued = 1
+            for server in self.brittle_servers:
+                server.max_refusals, server.n_queued = None, N_QUEUED
+            self.brittle_periods.append(
+                BrittlePeriod(
+                    servers=self.brittle_servers, began=began, ended=monotonic()
+                )
+            )
+
+    def _send_to_brittle(self) -> None:
+        client = self._client()
+        outcome = client.request(BRITTLE_SERVICE)
+        self.findings.outcomes[f"{BRITTLE_SERVICE} {outcome}"] += 1
+        client.caller.close()
+
     def _inject_link_faults(self) -> None:
         while self.clients_running:
             sleep(self.rng.uniform(0.2, 1.5))
--- a/test_long/soak_checks.py
+++ b/test_long/soak_checks.py
@@ -3,9 +3,10 @@
 from collections import Counter, defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 from test_long.soak_traffic import FATAL_PARTS, OTHER_CAUSE, Findings
-from turmericreel.fakes.routed_server import RoutedServer
+from turmericreel.fakes.routed_server import BRITTLE_CAUSE, RoutedServer
 
 # Servers that one request or part may end, the time after the last of them in which all
 # gateways learn of it, and servers that it may end later.
@@ -24,6 +25,17 @@
 MAX_BEYOND_RATE = 5
 RATE_WINDOW_S = 4.0
 RATE_LEARNING_TIME_S = 3.0
+# Falls of the brittle servers of one service that are allowed in one period.
+MAX_FALLS = 2
+MAX_FALLS_FRACTION = 0.1
+# Time after a cut from which first tries count, and that their answers may take.
+CONTACT_S = 3.0
+ANSWER_S = 1.0
+# First tries at cut-off gateways must be served this often in relation to others,
+# unless no more than these fail.
+MIN_SERVED_RATIO = 2 / 3
+MAX_FAILED_TRIES = 10
+MAX_FAILED_FRACTION = 1 / 50
 
 
 def check_runs(servers: Sequence[RoutedServer], findings: Findings) -> None:
@@ -42,6 +54,7 @@
     for server in servers:
         for end in server.ends:
             ends[end.cause].append(end.at)
+    ends.pop(BRITTLE_CAUSE, None)
     for cause, times in ends.items():
         findings.outcomes["ended servers"] += len(times)
         max_ends = MAX_ENDS_OF_PART if cause in FATAL_PARTS else MAX_ENDS
@@ -110,3 +123,89 @@
                 f"{period.server.server} got {most} requests in {RATE_WINDOW_S} s "
                 f"at a rate of {period.rate:.1f}"
             )
+
+
+@dataclass(frozen=True, kw_only=True)
+class BrittlePeriod:
+    """Time in which servers are brittle, in seconds on the monotonic clock."""
+
+    servers: Sequence[RoutedServer]
+    began: float
+    ended: float
+
+
+def check_brittle_periods(periods: Sequence[BrittlePeriod], findings: Findings) -> None:
+    """Check that brittle servers hardly ever fell over."""
+    for period in periods:
+        findings.outcomes["brittle periods"] += 1
+        n_falls = sum(
+            end.cause == BRITTLE_CAUSE and period.began <= end.at <= period.ended
+            for server in period.servers
+            for end in server.ends
+        )
+        findings.outcomes["falls of brittle servers"] += n_falls
+        if n_falls > MAX_FALLS + MAX_FALLS_FRACTION * len(period.servers):
+            findings.faults.append(f"brittle servers fell over {n_falls} times")
+
+
+class GatewayState(Enum):
+    """What a soak does to a gateway; `TROUBLED` ones are killed, paused or stopped."""
+
+    CALM = "calm"
+    CUT_OFF = "cut_off"
+    TROUBLED = "troubled"
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewayStates:
+    """States of all gateways by host, at a time on the monotonic clock in seconds."""
+
+    at: float
+    states: dict[str, GatewayState]
+
+
+def check_first_tries(history: Sequence[GatewayStates], findings: Findings) -> None:
+    """Check that cut-off gateways serve first tries about as often as the others.
+
+    Those count that are sent while both kinds have been in their state for
+    `CONTACT_S` and stay so until the answer.
+    """
+    served: dict[GatewayState, Counter[bool]] = defaultdict(Counter)
+    for first_try in findings.first_tries:
+        samples = [
+            sample.states
+            for sample in history
+            if first_try.at - CONTACT_S <= sample.at <= first_try.at + ANSWER_S
+        ]
+        steady = _steady_states(samples)
+        if {GatewayState.CALM, GatewayState.CUT_OFF} <= set(steady.values()):
+            state = steady.get(first_try.gateway)
+            served[state][first_try.is_served] += 1
+    cut_off, calm = served[GatewayState.CUT_OFF], served[GatewayState.CALM]
+    n_counted = cut_off.total() + calm.total()
+    findings.outcomes["first tries at cut-off gateways"] += cut_off.total()
+    findings.outcomes["first tries at cut-off gateways, served"] += cut_off[True]
+    findings.outcomes["first tries beside them"] += calm.total()
+    findings.outcomes["first tries beside them, served"] += calm[True]
+    if not cut_off or not calm:
+        return
+    ratio = cut_off[True] / cut_off.total() * calm.total() / max(calm[True], 1)
+    max_failed = MAX_FAILED_TRIES + MAX_FAILED_FRACTION * n_counted
+    if ratio < MIN_SERVED_RATIO and cut_off[False] > max_failed:
+        findings.faults.append(
+            f"cut-off gateways served {cut_off[True]} of {cut_off.total()} first "
+            f"tries, others {calm[True]} of {calm.total()}"
+        )
+
+
+def _steady_states(
+    samples: Sequence[dict[str, GatewayState]],
+) -> dict[str, GatewayState]:
+    """Return the states of the gateways that did not change."""
+    if not samples:
+        return {}
+    return {
+        host: state
+        for host, state in samples[0].items()
+        if all(sample[host] is state for sample in samples)
+    }
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -4,7 +4,8 @@
 order and complete; after a configuration was accepted, no older one is read back; a
 valid configuration is never refused; a request or a prompt part that ends its servers
 reaches hardly any once it has ended some; hardly any request reaches a server that is
-leaving or that asked for a pause; a server that names a rate gets little more than it.
+leaving or that asked for a pause; a server that names a rate gets little more than it;
+brittle servers hardly ever fall over; gateways that reach no server go on serving.
 """
 
 from collections import Counter
@@ -12,6 +13,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
+from time import monotonic
 
 import msgspec
 from geventhttpclient import HTTPClient
@@ -30,6 +32,8 @@
 SERVICE = "service"
 # Service of the servers that name rates.
 LIMITED_SERVICE = "limited"
+BRITTLE_SERVICE = "brittle"
+N_SLOTS = 8
 REQUEST_KINDS = ("safe", "unsafe", "stream")
 LIMITED_FRACTION = 0.3
 # Body of requests that end each server that runs them.
@@ -45,6 +49,15 @@
 OTHER_CAUSE = ""
 
 
+@dataclass(frozen=True, kw_only=True)
+class FirstTry:
+    """A request to a gateway; sent `at` seconds on the monotonic clock."""
+
+    at: float
+    gateway: str
+    is_served: bool
+
+
 @dataclass(kw_only=True)
 class Findings:
     """Observed outcomes and violated invariants.
@@ -57,6 +70,8 @@
         Violations of invariants.
     refused : set of str
         Attempt ids of refused requests.
+    first_tries : list of FirstTry
+        Sound requests to the service whose servers do all that stand-ins can.
     acknowledged_version : int
         Highest accepted version of the configuration.
     """
@@ -64,6 +79,7 @@
     outcomes: Counter = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
+    first_tries: list[FirstTry] = field(default_factory=list)
     acknowledged_version: int = 0
 
 
@@ -214,7 +230,18 @@
     def request(self, kind: str) -> str:
         """Send one request and return its status, or ``"no answer"``."""
         attempt_id = f"{kind}-{next(self.numbers)}"
-        return self._send(kind, attempt_id, f"/{kind}/{attempt_id}", b"x")
+        address, began = self.rng.choice(self.addresses), monotonic()
+        status = self._send(
+            kind, attempt_id, f"/{kind}/{attempt_id}", b"x", address=address
+        )
+        if kind in REQUEST_KINDS:
+            first_try = FirstTry(
+                at=began,
+                gateway=address.partition(":")[0],
+                is_served=status == "200",
+            )
+            self.findings.first_tries.append(first_try)
+        return status
 
     def _send_poison(self, kind: str) -> str:
         attempt_id = f"{kind}-{next(self.numbers)}"
@@ -226,7 +253,13 @@
         return self._send(kind, attempt_id, f"/{kind}/{attempt_id}", b"x", part)
 
     def _send(
-        self, kind: str, attempt_id: str, path: str, body: bytes, *extra_parts: str
+        self,
+        kind: str,
+        attempt_id: str,
+        path: str,
+        body: bytes,
+        *extra_parts: str,
+        address: str = "",
     ) -> str:
         document = f"document-{self.rng.randrange(N_DOCUMENTS)}"
         parts = (SYSTEM_PART, document, *extra_parts, attempt_id)
@@ -238,7 +271,7 @@
         }
         if kind == "stream":
             headers["Accept"] = "text/event-stream"
-        address = self.rng.choice(self.addresses)
+        address = address or self.rng.choice(self.addresses)
         try:
             status, body = self.caller.call(
                 address, "POST", path, body=body, headers=headers
@@ -264,6 +297,14 @@
             self.findings.faults.append(f"{attempt_id} was answered {body!r}")
 
 
+def service_of(server: RoutedServer) -> str:
+    """Return the service of a server, with which the ids of some begin."""
+    for service in (LIMITED_SERVICE, BRITTLE_SERVICE):
+        if server.server.startswith(service):
+            return service
+    return SERVICE
+
+
 def send_heartbeat(
     caller: Caller,
     server: RoutedServer,
@@ -274,11 +315,11 @@
 ) -> None:
     """Send a heartbeat of a server to the first coordinator that accepts it."""
     heartbeat = {
-        "Backend": SERVICE if server.fatal_bodies else LIMITED_SERVICE,
+        "Backend": service_of(server),
         "Address": address,
         "Zone": "a",
         "Version": "v1",
-        "Slots": 8,
+        "Slots": server.n_places or N_SLOTS,
         "State": "ready",
         "Sequence": sequence,
         "born": server.born_ms,
@@ -315,9 +356,11 @@
             route("unsafe", "unsafe", MaxAttempts=2),
             route("stream", "streaming", MaxAttempts=3, StreamResume=True),
             route(LIMITED_SERVICE, "safe", MaxAttempts=3, Backend=LIMITED_SERVICE),
+            route(BRITTLE_SERVICE, "unsafe", Backend=BRITTLE_SERVICE),
         ],
         "Backends": [
-            {"Name": name, "HealthCheck": "/h"} for name in (SERVICE, LIMITED_SERVICE)
+            {"Name": name, "HealthCheck": "/h"}
+            for name in (SERVICE, LIMITED_SERVICE, BRITTLE_SERVICE)
         ],
     }
     return msgspec.json.encode(body)
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -48,6 +48,7 @@
     UNFRAMED = "unframed"
     UNFRAMED_CUT = "unframed_cut"
     UNFRAMED_RESET = "unframed_reset"
+    UNFRAMED_STALLED = "unframed_stalled"
     PAUSE = "pause"
 
 
@@ -82,6 +83,7 @@
     Misbehaviour.UNFRAMED,
     Misbehaviour.UNFRAMED_CUT,
     Misbehaviour.UNFRAMED_RESET,
+    Misbehaviour.UNFRAMED_STALLED,
 }
 
 
@@ -405,6 +407,8 @@
             body = body[:-3]
         sock = environ[SOCKET_KEY]
         sock.sendall(head + body)
+        if fault is Misbehaviour.UNFRAMED_STALLED:
+            sleep(SILENCE_S)
         if fault is Misbehaviour.UNFRAMED_RESET:
             # Closing the socket sends a reset.
             sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
--- a/turmericreel/gateway/relay_connections.py
+++ b/turmericreel/gateway/relay_connections.py
@@ -6,6 +6,7 @@
 
 import socket
 from collections.abc import Callable, Iterable
+from errno import ECONNRESET
 
 from gevent.socket import create_connection
 
@@ -17,6 +18,9 @@
 from turmericreel.protocols.addresses import Address, parse_address
 from turmericreel.protocols.frames import FrameStream
 from turmericreel.protocols.relay_messages import (
+    BLOCK_LENGTH,
+    CLOSED,
+    RESET,
     OpenRelay,
     RelayAnswer,
     RelayFailed,
@@ -52,11 +56,42 @@
     Parameters
     ----------
     gateway : InstanceId
+
+    Attributes
+    ----------
+    was_broken_off : bool
+        Whether the other gateway was lost, which tells nothing of the server.
     """
 
     def __init__(self, *, gateway: InstanceId, **options):
         super().__init__(**options)
         self.gateway = gateway
+        self.was_broken_off = False
+        self.buffer = bytearray()
+
+    def receive(self, n_bytes: int) -> bytes:
+        """Return the next bytes of the server; see `ServerConnection.receive`."""
+        while True:
+            if len(self.buffer) >= BLOCK_LENGTH.size:
+                (length,) = BLOCK_LENGTH.unpack_from(self.buffer)
+                if length == CLOSED:
+                    return b""
+                if length == RESET:
+                    raise ConnectionResetError(ECONNRESET, "reset by the server")
+                end = BLOCK_LENGTH.size + length
+                if len(self.buffer) >= end:
+                    block = bytes(self.buffer[BLOCK_LENGTH.size : end])
+                    del self.buffer[:end]
+                    return block
+            data = super().receive(n_bytes)
+            if not data:
+                self.was_broken_off = True
+                raise ConnectionResetError(ECONNRESET, f"{self.gateway} was lost")
+            self.buffer += data
+
+    def has_no_input(self) -> bool:
+        """Return whether nothing was received; see `ServerConnection.has_no_input`."""
+        return not self.buffer and super().has_no_input()
 
 
 class RelayConnections(ServerConnections):
--- a/turmericreel/gateway/relay_listener.py
+++ b/turmericreel/gateway/relay_listener.py
@@ -6,11 +6,11 @@
 
 import contextlib
 from collections.abc import Callable, Iterable
-from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
-from struct import pack
+from socket import SHUT_RDWR
 
 from eliot import log_message
 from gevent import spawn
+from gevent.pool import Pool
 from gevent.server import StreamServer
 from gevent.socket import create_connection, socket
 
@@ -20,6 +20,9 @@
 from turmericreel.protocols.addresses import Address, parse_address
 from turmericreel.protocols.frames import FrameStream
 from turmericreel.protocols.relay_messages import (
+    BLOCK_LENGTH,
+    CLOSED,
+    RESET,
     OpenRelay,
     RelayFailed,
     RelayObstacle,
@@ -71,7 +74,9 @@
         self.paths = paths
         self.clock = clock
         self.n_relays = 0
-        self.listener = StreamServer((address.host, address.port), self._serve)
+        self.listener = StreamServer(
+            (address.host, address.port), self._serve, spawn=Pool()
+        )
 
     def start(self) -> None:
         """Start listening."""
@@ -161,8 +166,12 @@
     def _relay(self, caller: socket, server: socket) -> None:
         """Pass bytes on in both directions until either end closes."""
         caller.settimeout(None)
-        backward = spawn(_pass_on, server, caller)
-        _pass_on(caller, server)
+        backward = spawn(_pass_back, server, caller)
+        with contextlib.suppress(OSError):
+            while block := caller.recv(BLOCK_BYTES):
+                server.sendall(block)
+        # Also wakes the other direction.
+        _shut_down(server)
         backward.join()
 
     def _log_refused(self, request: OpenRelay, host: str, failed: RelayFailed) -> None:
@@ -179,30 +188,20 @@
     return RelayFailed(obstacle=obstacle, detail=detail)
 
 
-def _pass_on(source: socket, sink: socket) -> None:
-    """Pass bytes on until the source ends, and then end both connections.
-
-    A reset is passed on as one: it must not look like the end of an answer that has no
-    length.
-    """
+def _pass_back(server: socket, caller: socket) -> None:
+    """Pass the server's bytes on in blocks, and then how its connection ended."""
     try:
-        while block := source.recv(BLOCK_BYTES):
-            sink.sendall(block)
+        while block := server.recv(BLOCK_BYTES):
+            caller.sendall(BLOCK_LENGTH.pack(len(block)) + block)
+        end = CLOSED
     except OSError:
-        # The other end sees a reset.
-        _reset(sink)
-        return
-    _shut_down(sink)
-    _shut_down(source)
+        end = RESET
+    with contextlib.suppress(OSError):
+        caller.sendall(BLOCK_LENGTH.pack(end))
+    # Also wakes the other direction.
+    _shut_down(caller)
 
 
 def _shut_down(sock: socket) -> None:
     with contextlib.suppress(OSError):
         sock.shutdown(SHUT_RDWR)
-
-
-def _reset(sock: socket) -> None:
-    """Close a socket with a reset, which also wakes a greenlet that reads from it."""
-    with contextlib.suppress(OSError):
-        sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
-    sock.close()
--- a/turmericreel/protocols/relay_messages.py
+++ b/turmericreel/protocols/relay_messages.py
@@ -1,13 +1,20 @@
 """Messages between gateways that open connections to servers for each other.
 
-After a `RelayOpened` the connection carries the bytes of the server's connection in
-both directions, without frames, until either end closes.
+After a `RelayOpened` the connection carries the bytes for the server as they are.
+Those from the server come in blocks, each after its length; instead of a length,
+`CLOSED` says that the server closed its connection, and `RESET` that it broke.  So the
+end of a gateway is never taken for the end of a server or of its answer.
 """
 
+import struct
 from enum import Enum
 
 import msgspec
 
+BLOCK_LENGTH = struct.Struct(">I")
+CLOSED = 0
+RESET = 0xFFFF_FFFF
+
 
 class RelayObstacle(Enum):
     """What kept a gateway from reaching a server.
