Try gateways again that could not help a moment ago, if there is no other

The one gateway that could help had been killed; it was left out for up to four seconds, during which no other was known, although it was back after one. The longest pause is two seconds now, and of gateways that all failed lately, one is tried.

--- a/turmericreel/decisions/relay_choice.py
+++ b/turmericreel/decisions/relay_choice.py
@@ -15,7 +15,7 @@
 # Gateways that are tried for one connection.
 MAX_TRIED = 3
 FIRST_PAUSE_S = 0.5
-MAX_PAUSE_S = 4.0
+MAX_PAUSE_S = 2.0
 # A gateway that reached a server within this time is preferred.
 PROVEN_S = 5.0
 
@@ -56,10 +56,14 @@
         """Return the gateways to try, in order.
 
         Those that lately reached a server come first, in random order so that the load
-        spreads, then those of the same data centre.
+        spreads, then those of the same data centre.  If all failed lately, one is
+        tried.
         """
         others = [g for g in gateways if g.instance != self.instance]
         free = [g for g in others if now >= self._of(g).pause_deadline]
+        if not free:
+            others.sort(key=lambda g: self._of(g).pause_deadline)
+            return others[:1]
         shuffled = self.rng.sample(free, len(free))
         shuffled.sort(
             key=lambda g: (
--- a/turmericreel/gateway/relay_listener.py
+++ b/turmericreel/gateway/relay_listener.py
@@ -138,7 +138,7 @@
         if self.n_relays > MAX_RELAYS:
             return _failed(RelayObstacle.GATEWAY, "too many connections")
         state = self.paths.state_of(request.server_address, now=self.clock.monotonic())
-        if state is PathState.RELAYED:
+        if state is not PathState.DIRECT:
             return _failed(self._obstacle(), "no direct path")
         return None
 
