Count falls of brittle servers by who was refused, and follow few redirects in the soak

The users' rule counts a fall only if most of what was refused came from gateways in touch; the check does so too now.

--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -218,7 +218,9 @@
             check_ends(self.servers, self.findings)
             check_quiet_periods(self.quiet_periods, N_GATEWAYS, self.findings)
             check_limited_periods(self.limited_periods, self.findings)
-            check_brittle_periods(self.brittle_periods, self.findings)
+            check_brittle_periods(
+                self.brittle_periods, self.gateway_history, self.findings
+            )
             check_first_tries(self.gateway_history, self.findings)
         finally:
             self.running = False
--- a/test_long/soak_checks.py
+++ b/test_long/soak_checks.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from test_long.soak_traffic import FATAL_PARTS, OTHER_CAUSE, Findings
-from turmericreel.fakes.routed_server import BRITTLE_CAUSE, RoutedServer
+from turmericreel.fakes.routed_server import BRITTLE_CAUSE, RoutedServer, ServerEnd
 
 # Servers that one request or part may end, the time after the last of them in which all
 # gateways learn of it, and servers that it may end later.
@@ -125,6 +125,22 @@
             )
 
 
+class GatewayState(Enum):
+    """What a soak does to a gateway; `TROUBLED` ones are killed, paused or stopped."""
+
+    CALM = "calm"
+    CUT_OFF = "cut_off"
+    TROUBLED = "troubled"
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewayStates:
+    """States of all gateways by host, at a time on the monotonic clock in seconds."""
+
+    at: float
+    states: dict[str, GatewayState]
+
+
 @dataclass(frozen=True, kw_only=True)
 class BrittlePeriod:
     """Time in which servers are brittle, in seconds on the monotonic clock."""
@@ -134,34 +150,42 @@
     ended: float
 
 
-def check_brittle_periods(periods: Sequence[BrittlePeriod], findings: Findings) -> None:
-    """Check that brittle servers hardly ever fell over."""
+def check_brittle_periods(
+    periods: Sequence[BrittlePeriod],
+    history: Sequence[GatewayStates],
+    findings: Findings,
+) -> None:
+    """Check that brittle servers hardly ever fell over.
+
+    A fall counts if most of the requests that were refused came from gateways that had
+    no trouble lately.
+    """
     for period in periods:
-        findings.outcomes["brittle periods"] += 1
-        n_falls = sum(
-            end.cause == BRITTLE_CAUSE and period.began <= end.at <= period.ended
+        falls = [
+            end
             for server in period.servers
             for end in server.ends
-        )
-        findings.outcomes["falls of brittle servers"] += n_falls
+            if end.cause == BRITTLE_CAUSE and period.began <= end.at <= period.ended
+        ]
+        n_falls = sum(_is_by_steady_gateways(end, history, findings) for end in falls)
+        findings.outcomes["brittle periods"] += 1
+        findings.outcomes["falls of brittle servers"] += len(falls)
         if n_falls > MAX_FALLS + MAX_FALLS_FRACTION * len(period.servers):
             findings.faults.append(f"brittle servers fell over {n_falls} times")
 
 
-class GatewayState(Enum):
-    """What a soak does to a gateway; `TROUBLED` ones are killed, paused or stopped."""
-
-    CALM = "calm"
-    CUT_OFF = "cut_off"
-    TROUBLED = "troubled"
-
-
-@dataclass(frozen=True, kw_only=True)
-class GatewayStates:
-    """States of all gateways by host, at a time on the monotonic clock in seconds."""
-
-    at: float
-    states: dict[str, GatewayState]
+def _is_by_steady_gateways(
+    end: ServerEnd, history: Sequence[GatewayStates], findings: Findings
+) -> bool:
+    samples = [
+        sample.states for sample in history if end.at - CONTACT_S <= sample.at <= end.at
+    ]
+    gateways = [findings.gateways[attempt_id] for attempt_id in end.refused]
+    n_steady = sum(
+        all(sample[gateway] is not GatewayState.TROUBLED for sample in samples)
+        for gateway in gateways
+    )
+    return n_steady > len(gateways) / 2
 
 
 def check_first_tries(history: Sequence[GatewayStates], findings: Findings) -> None:
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -26,6 +26,8 @@
 N_EVENTS = 6
 HEARTBEAT_S = 0.3
 CLIENT_TIMEOUT_S = 5.0
+# Callers on the platform follow this many redirects; the leader may change meanwhile.
+MAX_REDIRECTS = 2
 OLDER_CONFIGURATION_FRACTION = 0.3
 REFUSAL_STATUSES = (408, 421, 429, 503)
 NETWORK_ERRORS = (OSError, HTTPParseError)
@@ -72,6 +74,8 @@
         Attempt ids of refused requests.
     first_tries : list of FirstTry
         Sound requests to the service whose servers do all that stand-ins can.
+    gateways : dict of str to str
+        Gateway to which each request was sent, by attempt id.
     acknowledged_version : int
         Highest accepted version of the configuration.
     """
@@ -80,6 +84,7 @@
     faults: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     first_tries: list[FirstTry] = field(default_factory=list)
+    gateways: dict[str, str] = field(default_factory=dict)
     acknowledged_version: int = 0
 
 
@@ -97,7 +102,14 @@
         self.answered_id: str | None = None
 
     def call(
-        self, address: str, method: str, path: str, *, body: bytes = b"", headers=None
+        self,
+        address: str,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers=None,
+        n_redirects: int = MAX_REDIRECTS,
     ) -> tuple[int, bytes]:
         """Send a request, follow redirects and return status and body.
 
@@ -117,9 +129,16 @@
         except NETWORK_ERRORS:
             self.clients.pop(address).close()
             raise
-        if answer.status_code == 307:
+        if answer.status_code == 307 and n_redirects:
             address = answer["Location"].split("/")[2]
-            return self.call(address, method, path, body=body, headers=headers)
+            return self.call(
+                address,
+                method,
+                path,
+                body=body,
+                headers=headers,
+                n_redirects=n_redirects - 1,
+            )
         return answer.status_code, data
 
     def close(self) -> None:
@@ -231,16 +250,15 @@
         """Send one request and return its status, or ``"no answer"``."""
         attempt_id = f"{kind}-{next(self.numbers)}"
         address, began = self.rng.choice(self.addresses), monotonic()
+        gateway = address.partition(":")[0]
+        self.findings.gateways[attempt_id] = gateway
         status = self._send(
             kind, attempt_id, f"/{kind}/{attempt_id}", b"x", address=address
         )
         if kind in REQUEST_KINDS:
-            first_try = FirstTry(
-                at=began,
-                gateway=address.partition(":")[0],
-                is_served=status == "200",
+            self.findings.first_tries.append(
+                FirstTry(at=began, gateway=gateway, is_served=status == "200")
             )
-            self.findings.first_tries.append(first_try)
         return status
 
     def _send_poison(self, kind: str) -> str:
