Keep what relayed connections show of servers apart from lost paths

Failures are now dropped only when the path is found lost, a leg that breaks leaves open what the server did, and an attempt at a silent server that no gateway reached within half a second fails at once. test_server_that_fails_behind_another_gateway_stays_paused fails without the first.

--- a/test/routing/test_relays.py
+++ b/test/routing/test_relays.py
@@ -25,6 +25,7 @@
 )
 from turmericreel.fakes.routed_server import Misbehaviour
 from turmericreel.model.routing import RouteKind
+from turmericreel.protocols.addresses import parse_address
 from turmericreel.protocols.frames import FrameStream
 from turmericreel.protocols.relay_messages import (
     OpenRelay,
@@ -280,3 +281,22 @@
             received += data
         assert not received.endswith(b"0\r\n\r\n")
         assert system.gateways[0].guard.quarantine.records() == ()
+
+
+def test_server_that_fails_behind_another_gateway_stays_paused(system):
+    gateway, address = system.gateways[0], parse_address(system.servers["s0"].address)
+    assert gateway.connections.check_relayed(address)
+    gateway.chooser.loads.record_failure("s0", now=monotonic())
+    assert gateway.connections.check_relayed(address)
+    assert gateway.chooser.loads.is_paused("s0", now=monotonic())
+    assert gateway.chooser.loads.collect_outcomes()["s0"].n_failed == 1
+
+
+def test_requests_are_not_held_up_at_silent_servers_that_no_gateway_reaches(tmp_path):
+    with cut_system(tmp_path, n_gateways=2, n_cut=0) as system:
+        for paths in system.paths:
+            paths.cut(Cut.HANG)
+        system.call("/unsafe/0", method="POST", body=b"x")
+        began = monotonic()
+        assert system.call("/unsafe/1", method="POST", body=b"x")[0] == 503
+        assert monotonic() - began < 0.3
--- a/turmericreel/decisions/server_paths.py
+++ b/turmericreel/decisions/server_paths.py
@@ -48,6 +48,8 @@
         When the direct path is to be checked, or another gateway may be tried again.
     check_pause_s : float
         Pause before the next check.
+    is_silent : bool
+        Whether the last direct connection that failed had to wait for it.
     """
 
     state: PathState = PathState.DIRECT
@@ -55,6 +57,7 @@
     checked_at: float = 0.0
     check_deadline: float = 0.0
     check_pause_s: float = FIRST_CHECK_PAUSE_S
+    is_silent: bool = False
 
 
 class ServerPaths:
@@ -98,9 +101,29 @@
         path.check_pause_s = FIRST_CHECK_PAUSE_S
         return not was_direct
 
-    def record_failed(self, address: str, *, now: float) -> None:
-        """Record that a server was not reached directly."""
+    def is_silent(self, address: str, *, now: float) -> bool:
+        """Return whether a server was unreached just now, by connections that hung.
+
+        Another attempt would only hold a request up.
+        """
+        state = self.state_of(address, now=now)
+        return state is PathState.UNREACHED and self.paths[address].is_silent
+
+    def record_failed(
+        self, address: str, *, now: float, is_silent: bool = False
+    ) -> None:
+        """Record that a server was not reached directly.
+
+        Parameters
+        ----------
+        address : str
+        now : float
+            Seconds on the monotonic clock.
+        is_silent : bool
+            Whether the connection hung and was not refused.
+        """
         path = self.paths.setdefault(address, ServerPath())
+        path.is_silent = is_silent
         self.failed_at = now
         if path.state is PathState.RELAYED:
             path.check_pause_s = min(2 * path.check_pause_s, MAX_CHECK_PAUSE_S)
--- a/turmericreel/gateway/brittle_servers.py
+++ b/turmericreel/gateway/brittle_servers.py
@@ -10,14 +10,10 @@
 
 from turmericreel.decisions.server_places import ServerPlaces, parse_max_refusals
 from turmericreel.gateway.client_request import ClientRequest
+from turmericreel.gateway.refusals import no_server_refusal
 from turmericreel.gateway.server_loads import ServerLoads
 from turmericreel.model.brittle_service import BrittleReport
-from turmericreel.model.failures import (
-    FailureError,
-    NotRun,
-    NotRunReason,
-    ProofKind,
-)
+from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import BackendServerId, InstanceId, ServiceName
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.util.clock import Clock
@@ -235,14 +231,7 @@
         wait_s += wait_s * self.rng.uniform(0.0, RETRY_SPREAD)
         limit_s = max(request.deadline - self.clock.monotonic(), 0.0)
         wait_s = min(wait_s, limit_s * MAX_RETRY_FRACTION)
-        return FailureError(
-            NotRun(
-                reason=NotRunReason.NO_HEALTHY_SERVER,
-                proof=ProofKind.NOT_DISPATCHED,
-                retry_after_ms=max(int(wait_s * 1_000), 1),
-                detail=NO_PLACE_LEFT,
-            )
-        )
+        return no_server_refusal(NO_PLACE_LEFT, wait_s=wait_s)
 
     def _log_brittle(
         self, service: ServiceName, max_refusals: float, *, server: str
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -299,12 +299,13 @@
             for server in self.view.servers.values()
         )
 
-    def _record_cut_path(self, address: str) -> None:
+    def _record_cut_path(self, address: str, is_new: bool) -> None:
         """Take back what lost connections seemed to tell of the servers there."""
         for server in self.view.servers.values():
             if server.address == address:
                 self.guard.record_cut_path(process_of(server))
-                self.chooser.loads.forget_failures(server.server)
+                if is_new:
+                    self.chooser.loads.forget_failures(server.server)
 
     def _limit_report(self) -> GatewayWork:
         return GatewayWork(
--- a/turmericreel/gateway/path_connections.py
+++ b/turmericreel/gateway/path_connections.py
@@ -34,7 +34,8 @@
     on_lost : callable
         Called with an address after a connection to it was lost within an answer.
     on_relayed : callable
-        Called with an address when another gateway reached the server there.
+        Called when another gateway reached a server, with its address and whether the
+        direct path had worked until then.
     """
 
     def __init__(
@@ -51,7 +52,7 @@
         self.clock = clock
         self.on_direct_failure: Callable[[Address], None] = lambda address: None
         self.on_lost: Callable[[Address], None] = lambda address: None
-        self.on_relayed: Callable[[str], None] = lambda address: None
+        self.on_relayed: Callable[[str, bool], None] = lambda address, is_new: None
 
     def acquire(
         self, address: Address, *, deadline: float = inf, must_be_fresh: bool = False
@@ -71,7 +72,10 @@
         OSError
             When no path works, so that the server received no byte of a request.
         """
-        state = self.paths.state_of(str(address), now=self.clock.monotonic())
+        now = self.clock.monotonic()
+        if self.paths.is_silent(str(address), now=now):
+            raise TimeoutError("no gateway reached the server a moment ago")
+        state = self.paths.state_of(str(address), now=now)
         if state is PathState.RELAYED:
             # Connections may live on although new ones are refused.
             return self.direct.take_idle(
@@ -134,8 +138,11 @@
         try:
             connection = self.direct.connect(address, timeout=timeout)
         except OSError as error:
-            self.paths.record_failed(str(address), now=self.clock.monotonic())
-            if not isinstance(error, ConnectionRefusedError):
+            is_silent = not isinstance(error, ConnectionRefusedError)
+            self.paths.record_failed(
+                str(address), now=self.clock.monotonic(), is_silent=is_silent
+            )
+            if is_silent:
                 # Nothing shows that the server still sees the idle connections.
                 self.direct.close_idle(address)
             raise
@@ -159,7 +166,8 @@
             )
             raise
         now = self.clock.monotonic()
-        if self.paths.record_relayed(str(address), now=now):
+        is_new = self.paths.record_relayed(str(address), now=now)
+        if is_new:
             log_message(
                 "gateway:path_relayed",
                 address=str(address),
@@ -167,7 +175,7 @@
                 is_cut_off=self.paths.is_cut_off(now=now),
                 n_relayed=self.paths.n_in(PathState.RELAYED),
             )
-        self.on_relayed(str(address))
+        self.on_relayed(str(address), is_new)
         return connection
 
     def _acquire_direct(
--- a/turmericreel/gateway/relay_connections.py
+++ b/turmericreel/gateway/relay_connections.py
@@ -31,7 +31,7 @@
 from turmericreel.util.clock import Clock
 
 # Some round trips, and the time that the other gateway takes to reach the server.
-RELAY_TIMEOUT_S = 0.3
+GATEWAY_TIMEOUT_S = 0.3
 
 
 class RelayError(OSError):
@@ -83,11 +83,15 @@
                     block = bytes(self.buffer[BLOCK_LENGTH.size : end])
                     del self.buffer[:end]
                     return block
-            data = super().receive(n_bytes)
-            if not data:
-                self.was_broken_off = True
-                raise ConnectionResetError(ECONNRESET, f"{self.gateway} was lost")
-            self.buffer += data
+            self.buffer += self._receive_from_gateway(n_bytes)
+
+    def _receive_from_gateway(self, n_bytes: int) -> bytes:
+        self.was_broken_off = True
+        data = super().receive(n_bytes)
+        if not data:
+            raise ConnectionResetError(ECONNRESET, f"{self.gateway} was lost")
+        self.was_broken_off = False
+        return data
 
     def has_no_input(self) -> bool:
         """Return whether nothing was received; see `ServerConnection.has_no_input`."""
@@ -143,7 +147,7 @@
                 break
             try:
                 return self.connect_through(
-                    gateway, address, timeout=min(left_s, RELAY_TIMEOUT_S)
+                    gateway, address, timeout=min(left_s, GATEWAY_TIMEOUT_S)
                 )
             except RelayError as error:
                 last_error = error
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -186,7 +186,7 @@
     @property
     def connection_lost(self) -> bool:
         """Whether the server closed or reset the connection before its answer ended."""
-        if self.is_relayed and self.connection.was_broken_off:
+        if self.is_relayed and (self.answer is None or self.connection.was_broken_off):
             return False
         if self.answer is None:
             return self.sending_failed
--- a/turmericreel/gateway/server_rates.py
+++ b/turmericreel/gateway/server_rates.py
@@ -11,7 +11,8 @@
 from turmericreel.decisions.gateway_rates import GatewayRates, RetryTimes
 from turmericreel.decisions.rate_limits import GRANT_WAIT_S, parse_rate
 from turmericreel.gateway.client_request import ClientRequest
-from turmericreel.model.failures import FailureError, NotRun, NotRunReason, ProofKind
+from turmericreel.gateway.refusals import no_server_refusal
+from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import ServiceName
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.server_crash import ServerProcess, process_of
@@ -169,14 +170,7 @@
         if wait_s > limit_s:
             # Clients whose time is limited must not return together either.
             wait_s = limit_s * self.rng.uniform(1.0 - RETRY_SPREAD, 1.0)
-        return FailureError(
-            NotRun(
-                reason=NotRunReason.NO_HEALTHY_SERVER,
-                proof=ProofKind.NOT_DISPATCHED,
-                retry_after_ms=max(int(wait_s * 1_000), 1),
-                detail=RATES_REACHED,
-            )
-        )
+        return no_server_refusal(RATES_REACHED, wait_s=wait_s)
 
     def _log_limit(
         self, process: ServerProcess, source: RateSource, *, text: str = ""
