Cut only gateways that listen in the soak, and compare first tries beyond chance

The signal that cuts a process off had ended it, as it was still starting; its log has neither a lost path nor a stop. The share at cut-off gateways must now be lower by more than the standard error of the difference.

--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -28,6 +28,7 @@
 from time import monotonic
 
 from gevent import joinall, sleep, spawn
+from gevent.socket import create_connection
 
 from test_long.loopback_proxy import LinkFault, LoopbackProxy
 from test_long.platform_process import PlatformProcess
@@ -94,6 +95,7 @@
 CUT_S = (4.0, 7.0)
 # Time between two samples of the gateways' states.
 SAMPLE_INTERVAL_S = 0.05
+LISTEN_TIMEOUT_S = 0.2
 SILENT_S = 1.0
 # Places of a brittle server, what it bears, and the load of a period in requests a
 # second, which is more than it can serve at times.
@@ -375,7 +377,10 @@
         """Cut gateways off from all servers, while the other processes have trouble."""
         while self.clients_running:
             sleep(self.rng.uniform(0.5, 2.0))
-            free = [g for g in self.gateways if g.is_running and not g.is_under_fault]
+            # A process that is still starting would be ended by the signal.
+            free = [
+                g for g in self.gateways if not g.is_under_fault and self._listens(g)
+            ]
             n_cut_off = min(self.rng.randint(1, MAX_CUT_OFF), len(free))
             chosen = self.rng.sample(free, n_cut_off)
             how = self.rng.choice((SIGUSR1, SIGUSR2))
@@ -391,6 +396,14 @@
                 self.cut_off.discard(gateway.host)
                 gateway.is_under_fault = False
 
+    def _listens(self, gateway: PlatformProcess) -> bool:
+        address = (gateway.host, self.ports["frontend"])
+        try:
+            create_connection(address, timeout=LISTEN_TIMEOUT_S).close()
+        except OSError:
+            return False
+        return True
+
     def _sample_gateways(self) -> None:
         """Record which gateways are cut off or have other trouble."""
         while self.clients_running:
--- a/test_long/soak_checks.py
+++ b/test_long/soak_checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from math import sqrt
 
 from test_long.soak_traffic import FATAL_PARTS, OTHER_CAUSE, Findings
 from turmericreel.fakes.routed_server import BRITTLE_CAUSE, RoutedServer, ServerEnd
@@ -194,7 +195,7 @@
     Those count that are sent while both kinds have been in their state for
     `CONTACT_S` and stay so until the answer.
     """
-    served: dict[GatewayState, Counter[bool]] = defaultdict(Counter)
+    counts: dict[GatewayState, Counter[bool]] = defaultdict(Counter)
     for first_try in findings.first_tries:
         samples = [
             sample.states
@@ -204,8 +205,8 @@
         steady = _steady_states(samples)
         if {GatewayState.CALM, GatewayState.CUT_OFF} <= set(steady.values()):
             state = steady.get(first_try.gateway)
-            served[state][first_try.is_served] += 1
-    cut_off, calm = served[GatewayState.CUT_OFF], served[GatewayState.CALM]
+            counts[state][first_try.is_served] += 1
+    cut_off, calm = counts[GatewayState.CUT_OFF], counts[GatewayState.CALM]
     n_counted = cut_off.total() + calm.total()
     findings.outcomes["first tries at cut-off gateways"] += cut_off.total()
     findings.outcomes["first tries at cut-off gateways, served"] += cut_off[True]
@@ -213,9 +214,14 @@
     findings.outcomes["first tries beside them, served"] += calm[True]
     if not cut_off or not calm:
         return
-    ratio = cut_off[True] / cut_off.total() * calm.total() / max(calm[True], 1)
+    served_there = cut_off[True] / cut_off.total()
+    served_beside = calm[True] / calm.total()
+    # Servers are down for some seconds, so a few tries differ by chance.
+    served = (cut_off[True] + calm[True]) / n_counted
+    error = sqrt(served * (1 - served) * (1 / cut_off.total() + 1 / calm.total()))
     max_failed = MAX_FAILED_TRIES + MAX_FAILED_FRACTION * n_counted
-    if ratio < MIN_SERVED_RATIO and cut_off[False] > max_failed:
+    is_worse = served_there < MIN_SERVED_RATIO * served_beside - error
+    if is_worse and cut_off[False] > max_failed:
         findings.faults.append(
             f"cut-off gateways served {cut_off[True]} of {cut_off.total()} first "
             f"tries, others {calm[True]} of {calm.total()}"
