--- a/test_long/cuttable_gateway.py
+++ b/test_long/cuttable_gateway.py
@@ -26,7 +26,8 @@
     def __init__(self):
         self.cut_by = ""
         self.connections: WeakSet[ServerConnection] = WeakSet()
-        self.reset: WeakSet[ServerConnection] = WeakSet()
+        # What follows dropped bytes, or a reset, must not look like the rest.
+        self.broken: WeakSet[ServerConnection] = WeakSet()
 
     def install(self) -> None:
         """Make all connections to servers pass through here."""
@@ -45,14 +46,17 @@
 
         def receive_unless_silent(connection, n_bytes):
             while data := receive(connection, n_bytes):
-                if not self._is_silent(connection):
+                if self._is_silent(connection):
+                    self.broken.add(connection)
+                elif connection not in self.broken:
                     return data
-            if connection in self.reset:
+            if self._is_silent(connection) or connection in self.broken:
                 raise ConnectionResetError(ECONNRESET, "cut off")
             return data
 
         def send_unless_silent(connection, data, *, timeout):
             if self._is_silent(connection):
+                self.broken.add(connection)
                 return len(data)
             return send(connection, data, timeout=timeout)
 
@@ -67,7 +71,7 @@
         self.cut_by = "" if self.cut_by else how
         if self.cut_by == RESET:
             for connection in list(self.connections):
-                self.reset.add(connection)
+                self.broken.add(connection)
                 connection.shut_down()
 
     def _is_silent(self, connection: ServerConnection) -> bool:
