Wait in a test until the state of a coordinator is on disk

Cause: the test waited a tenth of a second after the state was to be saved, which a thread does. With the save delayed by 0.4 s the old test fails (2 of 2) and the new one, which waits for the file, passes (3 of 3); it checks what it did before.

--- a/test/routing/test_coordinators.py
+++ b/test/routing/test_coordinators.py
@@ -162,8 +162,7 @@
     system.submit(SAFE)
     system.add_server("s1")
     coordinator = system.coordinators.pop()
-    wait_until(lambda: coordinator.cached.servers, "the saved state")
-    sleep(0.1)
+    wait_until(lambda: coordinator.cache.load().servers, "the saved state")
     coordinator.stop()
     for gateway in system.gateways:
         gateway.kill()
