Ask further gateways until lost connections are explained

Cause: a gateway that had lost its path asked three others once. Where these had lost theirs too, nothing was asked again before the next request. One refused connection ended the search, although a gateway that has just been cut off is refused as well, and the next search chose at random, the same ones included. Connections lost after the path was known to be relayed were never looked at.

A check now goes on for 1.5 s after a lost connection, as long as nothing explains it; gateways that did not reach a server come last the next time; a refusal does not end the search; and what is lost while others help is checked again. The outcomes of such a server are held until then, as before.

The failing test did not wait for what it checks: it slept 0.3 s. It now waits until all gateways know the crashes, and checks that all are refuted, without heartbeats, which is more than the refused count before.

--- a/test/decisions/test_relay_choice.py
+++ b/test/decisions/test_relay_choice.py
@@ -44,6 +44,17 @@
     assert firsts == {"g2", "g4"}
 
 
+def test_gateways_that_did_not_reach_a_server_are_tried_after_all_others():
+    choice = make_choice()
+    gateways = make_gateways(8)
+    tried = set()
+    for now in (1.0, 2.0, 3.0):
+        for gateway in choice.candidates(gateways, now=now):
+            tried.add(gateway.instance)
+            choice.record_unreached(gateway.instance, now=now)
+    assert tried == {gateway.instance for gateway in gateways[1:]}
+
+
 def test_failed_gateways_are_left_out_for_a_while():
     choice = make_choice()
     gateways = make_gateways(3)
--- a/test/routing/test_cut_off_gateways.py
+++ b/test/routing/test_cut_off_gateways.py
@@ -7,8 +7,10 @@
 
 from test.routing.gateway_paths import Cut, FirstTries, GatewayPaths
 from test.routing.library import make_route
-from test.routing.small_system import NAMES, small_system, stream_route
+from test.routing.small_system import NAMES, small_system, stream_route, wait_until
+from turmericreel.decisions.server_paths import PathState
 from turmericreel.model.routing import RouteKind
+from turmericreel.protocols.addresses import parse_address
 
 N_GATEWAYS = 6
 N_SERVERS = 4
@@ -32,7 +34,7 @@
         paths = [GatewayPaths(gateway) for gateway in running.gateways]
         servers = [running.add_server(f"s{n}") for n in range(N_SERVERS)]
         beats = spawn(send_heartbeats, running, servers)
-        running.paths = paths
+        running.paths, running.beats = paths, beats
         yield running
         beats.kill()
         for path in paths:
@@ -87,22 +89,59 @@
     )
 
 
+def wait_until_crashes_are_refuted(system) -> None:
+    """Wait until all gateways know the same crashes, and none of them counts."""
+
+    def are_refuted() -> bool:
+        known = [gateway.guard.quarantine.records() for gateway in system.gateways]
+        contents = [{crash.content for crash in records} for records in known]
+        return all(c == contents[0] for c in contents) and all(
+            crash.refuted for records in known for crash in records
+        )
+
+    assert any(g.guard.quarantine.records() for g in system.gateways)
+    wait_until(are_refuted, "refuted crashes")
+
+
 def test_gateways_that_lose_their_paths_blame_no_request_and_no_server(system):
     for server in system.servers.values():
-        server.event_pause_s = 0.2
+        server.event_pause_s, server.n_events = 0.2, 8
     running = [
         spawn(send_stream_with_part, system, index, number)
         for index in range(N_GATEWAYS)
         for number in range(N_SERVERS)
     ]
     sleep(0.4)
+    # Only the other paths may show that the servers go on.
+    system.beats.kill()
     for paths in system.paths[:-1]:
         paths.cut(Cut.RESET)
-    sleep(0.3)
-    assert all(g.guard.n_quarantined() == 0 for g in system.gateways)
+    joinall(running[:-N_SERVERS])
+    wait_until_crashes_are_refuted(system)
     assert send_stream_with_part(system, N_GATEWAYS - 1, N_SERVERS) == 200
     joinall(running)
     assert all(
         gateway.chooser.loads.n_suspended(now=monotonic()) == 0
         for gateway in system.gateways
     )
+
+
+def test_connections_that_are_lost_after_the_path_end_no_server(system):
+    for server in system.servers.values():
+        server.event_pause_s, server.n_events = 0.1, 15
+    running = [
+        spawn(send_stream_with_part, system, 0, number) for number in range(N_SERVERS)
+    ]
+    sleep(0.4)
+    system.beats.kill()
+    system.paths[0].cut(Cut.LIVE_ON)
+    gateway = system.gateways[0]
+    for server in system.servers.values():
+        gateway.path_checks.check(parse_address(server.address))
+    paths = gateway.connections.paths
+    wait_until(
+        lambda: paths.n_in(PathState.RELAYED) == N_SERVERS, "all servers relayed"
+    )
+    system.paths[0].cut(Cut.RESET)
+    joinall(running)
+    wait_until_crashes_are_refuted(system)
--- a/test/routing/test_relays.py
+++ b/test/routing/test_relays.py
@@ -19,6 +19,7 @@
 )
 from turmericreel.decisions.server_paths import (
     CUT_OFF_S,
+    LOST_PATH_S,
     MAX_CHECK_PAUSE_S,
     PathState,
     ServerPaths,
@@ -233,6 +234,20 @@
     assert not paths.is_check_due("s1", waiting_since=12.9, now=13.0)
 
 
+def test_lost_connections_are_explained_by_another_gateway_or_not_at_all():
+    paths = ServerPaths()
+    paths.record_lost("s1", now=1.0)
+    paths.record_unreached("s1", now=1.1)
+    assert paths.has_lost("s1", now=1.2)
+    assert not paths.has_lost("s2", now=1.2)
+    assert not paths.has_lost("s1", now=1.0 + LOST_PATH_S)
+    paths.record_relayed("s1", now=1.3)
+    assert not paths.has_lost("s1", now=1.3)
+    paths.record_lost("s1", now=2.0)
+    paths.record_relayed("s1", now=2.1)
+    assert not paths.has_lost("s1", now=2.1)
+
+
 def test_failed_paths_are_checked_until_they_work():
     paths = ServerPaths()
     paths.record_failed("s1", now=1.0)
--- a/turmericreel/decisions/relay_choice.py
+++ b/turmericreel/decisions/relay_choice.py
@@ -22,10 +22,21 @@
 
 @dataclass(kw_only=True)
 class RelayRecord:
-    """What is known of one gateway as a relay; times in seconds."""
+    """What is known of one gateway as a relay; times in seconds.
+
+    Attributes
+    ----------
+    proven_deadline, pause_deadline : float
+        Until when it is preferred, or left out.
+    failed_at : float
+        When it last failed to reach a server, for whatever reason.
+    n_failures : int
+        Consecutive failures for reasons of its own.
+    """
 
     proven_deadline: float = 0.0
     pause_deadline: float = 0.0
+    failed_at: float = 0.0
     n_failures: int = 0
 
 
@@ -56,8 +67,8 @@
         """Return the gateways to try, in order.
 
         Those that lately reached a server come first, in random order so that the load
-        spreads, then those of the same data centre.  If all failed lately, one is
-        tried.
+        spreads, then those that never failed or did so longest ago, and of these those
+        of the same data centre.  If all are left out, one is tried.
         """
         others = [g for g in gateways if g.instance != self.instance]
         free = [g for g in others if now >= self._of(g).pause_deadline]
@@ -65,13 +76,7 @@
             others.sort(key=lambda g: self._of(g).pause_deadline)
             return others[:1]
         shuffled = self.rng.sample(free, len(free))
-        shuffled.sort(
-            key=lambda g: (
-                now >= self._of(g).proven_deadline,
-                now >= self._of(g).proven_deadline
-                and g.data_centre != self.data_centre,
-            )
-        )
+        shuffled.sort(key=lambda g: self._rank(g, now))
         return shuffled[:MAX_TRIED]
 
     def record_success(self, gateway: InstanceId, *, now: float) -> None:
@@ -81,9 +86,14 @@
         record.pause_deadline = 0.0
         record.n_failures = 0
 
+    def record_unreached(self, gateway: InstanceId, *, now: float) -> None:
+        """Record that a gateway did not reach a server; others come first next time."""
+        self.records.setdefault(gateway, RelayRecord()).failed_at = now
+
     def record_failure(self, gateway: InstanceId, *, now: float) -> None:
         """Record that a gateway could not help, for a reason of its own."""
-        record = self.records.setdefault(gateway, RelayRecord())
+        self.record_unreached(gateway, now=now)
+        record = self.records[gateway]
         pause_s = min(FIRST_PAUSE_S * 2**record.n_failures, MAX_PAUSE_S)
         record.n_failures += 1
         record.proven_deadline = 0.0
@@ -95,5 +105,11 @@
         for gateway in set(self.records) - listed:
             del self.records[gateway]
 
+    def _rank(self, gateway: GatewayInstance, now: float) -> tuple[bool, float, bool]:
+        record = self._of(gateway)
+        if now < record.proven_deadline:
+            return (False, 0.0, False)
+        return (True, record.failed_at, gateway.data_centre != self.data_centre)
+
     def _of(self, gateway: GatewayInstance) -> RelayRecord:
         return self.records.get(gateway.instance, RelayRecord())
--- a/turmericreel/decisions/server_paths.py
+++ b/turmericreel/decisions/server_paths.py
@@ -21,6 +21,8 @@
 CHECK_INTERVAL_S = 2.0
 # A gateway that reached some server within this time is not cut off.
 CUT_OFF_S = 1.0
+# A lost path is noticed and told from an ended server within this time.
+LOST_PATH_S = 1.5
 
 
 class PathState(Enum):
@@ -50,6 +52,9 @@
         Pause before the next check.
     is_silent : bool
         Whether the last direct connection that failed had to wait for it.
+    lost_deadline : float
+        Until when another gateway may show that only the path was lost with a direct
+        connection; in seconds on the monotonic clock.
     """
 
     state: PathState = PathState.DIRECT
@@ -58,6 +63,7 @@
     check_deadline: float = 0.0
     check_pause_s: float = FIRST_CHECK_PAUSE_S
     is_silent: bool = False
+    lost_deadline: float = 0.0
 
 
 class ServerPaths:
@@ -129,9 +135,20 @@
             path.check_pause_s = min(2 * path.check_pause_s, MAX_CHECK_PAUSE_S)
             path.check_deadline = now + path.check_pause_s
 
+    def record_lost(self, address: str, *, now: float) -> None:
+        """Record that a direct connection was lost within an answer."""
+        path = self.paths.setdefault(address, ServerPath())
+        path.lost_deadline = now + LOST_PATH_S
+
+    def has_lost(self, address: str, *, now: float) -> bool:
+        """Return whether a lost connection is not explained yet, but may be."""
+        path = self.paths.get(address)
+        return path is not None and now < path.lost_deadline
+
     def record_relayed(self, address: str, *, now: float) -> bool:
         """Record that another gateway reached a server; return whether this is new."""
         path = self.paths.setdefault(address, ServerPath())
+        path.lost_deadline = 0.0
         if path.state is PathState.RELAYED:
             return False
         self._change(address, path, PathState.RELAYED)
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -207,13 +207,13 @@
                 self._record_answer()
             case AttemptEnd.BROKEN if self.exchange.connection_lost:
                 self._log_connection_lost()
+                is_direct = not self.exchange.is_relayed
                 self.guard.record_lost_connection(
-                    content,
-                    self.server,
-                    parts,
-                    is_direct=not self.exchange.is_relayed,
+                    content, self.server, parts, is_direct=is_direct
+                )
+                self.exchange.connections.record_lost(
+                    self.exchange.address, is_direct=is_direct
                 )
-                self.exchange.connections.on_lost(self.exchange.address)
             case AttemptEnd.BROKEN | AttemptEnd.CANCELLED:
                 self.guard.record_unresolved(
                     content, self.server, parts, ended=self.has_ended(self.server)
--- a/turmericreel/gateway/crash_guard.py
+++ b/turmericreel/gateway/crash_guard.py
@@ -13,6 +13,7 @@
 from eliot import log_message
 
 from turmericreel.decisions.content_quarantine import MAX_CRASHES, ContentQuarantine
+from turmericreel.decisions.server_paths import LOST_PATH_S
 from turmericreel.decisions.sound_parts import SoundParts
 from turmericreel.model.failures import (
     Failure,
@@ -43,8 +44,6 @@
 # A copy that is running may prove the content sound soon.
 BUSY_RETRY_AFTER_MS = 250
 OK_STATUS = 200
-# A lost path is noticed and told from an ended server within this time.
-CUT_PATH_S = 1.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -218,7 +217,7 @@
         keys = [
             key
             for key, lost_at in self.lost.pop(process, {}).items()
-            if now < lost_at + CUT_PATH_S
+            if now < lost_at + LOST_PATH_S
         ]
         if not keys:
             return
@@ -333,7 +332,7 @@
         self.failed_trials.intersection_update(self.quarantine.crashes)
         now = self.clock.monotonic()
         for process, lost in list(self.lost.items()):
-            if all(lost_at + CUT_PATH_S <= now for lost_at in lost.values()):
+            if all(lost_at + LOST_PATH_S <= now for lost_at in lost.values()):
                 del self.lost[process]
         for process, contents in list(self.unresolved.items()):
             if all(attempt.deadline <= now for attempt in contents.values()):
--- a/turmericreel/gateway/path_checks.py
+++ b/turmericreel/gateway/path_checks.py
@@ -19,6 +19,8 @@
 # A server that was reached within this time is not checked then, and none if any was.
 LATELY_REACHED_S = 0.3
 MIN_INTERVAL_S = 1.0
+# Pause before other gateways are asked again after a lost connection; it doubles.
+FIRST_RETRY_S = 0.1
 
 
 class PathChecks:
@@ -111,14 +113,24 @@
                     self.check(parse_address(server.address))
 
     def _check(self, address: Address) -> None:
+        """Check a path; after a lost connection, until a gateway reaches the server."""
+        retry_s = FIRST_RETRY_S
         try:
-            was_relayed = (
-                self.paths.state_of(str(address), now=self.clock.monotonic())
-                is PathState.RELAYED
-            )
-            if self.connections.check_direct(address) or was_relayed:
-                return
-            self.check_others(address)
-            self.connections.check_relayed(address)
+            while not self._is_reached(address) and self._has_lost(address):
+                sleep(retry_s)
+                retry_s *= 2
         finally:
             self.running.discard(str(address))
+
+    def _is_reached(self, address: Address) -> bool:
+        """Try the direct path, and other gateways unless one is known to help."""
+        state = self.paths.state_of(str(address), now=self.clock.monotonic())
+        if self.connections.check_direct(address):
+            return True
+        if state is PathState.RELAYED and not self._has_lost(address):
+            return True
+        self.check_others(address)
+        return self.connections.check_relayed(address)
+
+    def _has_lost(self, address: Address) -> bool:
+        return self.paths.has_lost(str(address), now=self.clock.monotonic())
--- a/turmericreel/gateway/path_connections.py
+++ b/turmericreel/gateway/path_connections.py
@@ -102,6 +102,12 @@
         self.direct.close_idle(address)
         self.relayed.close_idle(address)
 
+    def record_lost(self, address: Address, *, is_direct: bool) -> None:
+        """Record that a connection was lost within an answer, and check the path."""
+        if is_direct:
+            self.paths.record_lost(str(address), now=self.clock.monotonic())
+        self.on_lost(address)
+
     def record_silence(self, connection: ServerConnection) -> None:
         """Record that no byte came in time; another gateway may have fallen silent."""
         if isinstance(connection, RelayedConnection):
--- a/turmericreel/gateway/relay_connections.py
+++ b/turmericreel/gateway/relay_connections.py
@@ -151,8 +151,6 @@
                 )
             except RelayError as error:
                 last_error = error
-                if error.obstacle is RelayObstacle.SERVER:
-                    break
         raise last_error
 
     def connect_through(
@@ -167,8 +165,11 @@
         try:
             sock = self._open(gateway, address, timeout)
         except RelayError as error:
+            now = self.clock.monotonic()
             if error.obstacle is RelayObstacle.GATEWAY:
-                self.choice.record_failure(gateway.instance, now=self.clock.monotonic())
+                self.choice.record_failure(gateway.instance, now=now)
+            else:
+                self.choice.record_unreached(gateway.instance, now=now)
             raise
         now = self.clock.monotonic()
         self.choice.record_success(gateway.instance, now=now)
--- a/turmericreel/gateway/relay_listener.py
+++ b/turmericreel/gateway/relay_listener.py
@@ -142,12 +142,10 @@
             return _failed(self._obstacle(), "no direct path")
         return None
 
-    def _obstacle(self, error: OSError | None = None) -> RelayObstacle:
-        """Return what a direct path that fails shows, with the error of an attempt."""
+    def _obstacle(self) -> RelayObstacle:
+        """Return what a direct path that fails shows."""
         if self.paths.is_cut_off(now=self.clock.monotonic()):
             return RelayObstacle.GATEWAY
-        if isinstance(error, ConnectionRefusedError):
-            return RelayObstacle.SERVER
         return RelayObstacle.PATH
 
     def _open(self, request: OpenRelay) -> tuple[socket | None, RelayFailed | None]:
@@ -157,7 +155,7 @@
             server = self.connect(parse_address(address), timeout=max(timeout_s, 0.01))
         except OSError as error:
             self.paths.record_failed(address, now=self.clock.monotonic())
-            return None, _failed(self._obstacle(error), str(error))
+            return None, _failed(self._obstacle(), str(error))
         self.paths.record_reached(address, now=self.clock.monotonic())
         set_unacknowledged_timeout(server)
         server.settimeout(None)
--- a/turmericreel/protocols/relay_messages.py
+++ b/turmericreel/protocols/relay_messages.py
@@ -19,13 +19,13 @@
 class RelayObstacle(Enum):
     """What kept a gateway from reaching a server.
 
-    A `GATEWAY` can open no connections now, a `PATH` leads to this server only, and a
-    `SERVER` refused the connection itself.
+    A `GATEWAY` can open no connections now, and a `PATH` leads to this server only.  A
+    refused connection does not show that the server has ended, as a gateway that has
+    just been cut off is refused too.
     """
 
     GATEWAY = "gateway"
     PATH = "path"
-    SERVER = "server"
 
 
 class OpenRelay(msgspec.Struct, frozen=True, kw_only=True, tag=True):
