Wait in a test until a gateway is in its own address list

A gateway serves requests as soon as it has a configuration and a server, and is in the list once a coordinator has sent it back, which the test did not wait for. Callers that ask before are answered with status 503 and ask another gateway, so the code is right.

The check is a test of its own now, which waits for the list and then compares it as before.

--- a/test/routing/test_small_day.py
+++ b/test/routing/test_small_day.py
@@ -49,9 +49,14 @@
     assert received["QUERY_STRING"] == "q=%20a"
     assert received["HTTP_X_OWN"] == "mine"
     assert received["HTTP_" + NAMES.expected_server.upper().replace("-", "_")] == "s1"
-    assert system.gateways[0].addresses_for("a") == [
-        system.gateways[0].settings.client_address
-    ]
+
+
+def test_gateway_lists_itself_once_it_is_ready(system):
+    gateway = system.gateways[0]
+    system.submit(SAFE)
+    wait_until(lambda: gateway.addresses_for("a"), "a listed gateway")
+    assert gateway.is_ready
+    assert gateway.addresses_for("a") == [gateway.settings.client_address]
 
 
 def test_unknown_routes_and_keys_are_refused(system):
