Choose ports for tests that no address uses

One of 120 runs beside 20 others could not start: another run listened on the same port of the same address. Ports were probed on 127.0.0.1, but gateways and coordinators listen on addresses of their own; they are probed on all addresses now.

--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -44,15 +44,15 @@
             raise FailureError(RoutingRejected(faults=(str(error),))) from error
 
 
-def free_port(host: str) -> int:
-    """Return a port that is not in use.
+def free_port() -> int:
+    """Return a port that is not in use on any address.
 
     Ports of the ephemeral range may become outgoing ones of another test run.
     """
     while True:
         with socket.socket() as probe, suppress(OSError):
             port = SystemRandom().randrange(*LISTENING_PORTS)
-            probe.bind((host, port))
+            probe.bind(("", port))
             return port
 
 
@@ -74,10 +74,10 @@
 
     def __init__(self, folder, *, n_coordinators: int = 1, n_gateways: int = 1):
         self.folder = folder
-        self.internal_port = free_port("127.0.0.1")
-        self.raft_port = free_port("127.0.0.1")
-        self.relay_port = free_port("127.0.0.1")
-        self.control_port = free_port("127.0.0.1")
+        self.internal_port = free_port()
+        self.raft_port = free_port()
+        self.relay_port = free_port()
+        self.control_port = free_port()
         self.seeds = tuple(
             f"127.0.1.{n + 1}:{self.control_port}" for n in range(n_coordinators)
         )
