Take crashes back at entry instances if the server goes on

An entry instance that loses its paths to servers breaks the requests that run there, and each broken connection counted as a crash of the content and of its prompt parts.

A broken connection still counts at once, so that no more servers can end. Six seconds later, the time after which cancelled copies are judged, the instance proposes to take the crash back, and the replicated state does so if the server process is still registered. What really ended goes on counting. A command that control does not take is logged now.

Seen: a test with servers whose connections break while they go on waited 60 s for an answer on the code before, and gets one now. The stateful test has lost paths among its rules, and its bound of two servers holds.

--- a/test/decisions/test_contents.py
+++ b/test/decisions/test_contents.py
@@ -21,6 +21,7 @@
     ContentQuarantined,
     ContentWaits,
     EndContent,
+    RefuteCrash,
 )
 from turmericreel.state.commands.union import LogRecord
 from turmericreel.state.tables.contents import (
@@ -144,6 +145,19 @@
             if not (lost and digest == POISON):
                 end(self.table, digest, copy, ContentEnd.CRASHED, self.now_ms)
 
+    @rule(pick=st.integers(0, 100))
+    def lose_path(self, pick):
+        """Break the connection of a copy whose server goes on, and notice that."""
+        if not self.running:
+            return
+        copy = sorted(self.running)[pick % len(self.running)]
+        digest, server = self.running.pop(copy)
+        end(self.table, digest, copy, ContentEnd.CRASHED, self.now_ms)
+        command = RefuteCrash(
+            digest=digest, server=BackendServerId(server), incarnation=Incarnation(1)
+        )
+        self.table.apply(command, record(self.now_ms))
+
     @rule(seconds=st.integers(1, 10))
     def wait(self, seconds):
         """Advance the time, in total by less than the duration of a quarantine."""
@@ -253,6 +267,54 @@
     assert table.contents[POISON].n_crashes == 1
 
 
+def refute(table: ContentTable, digest: str, server: str, *, parts=()):
+    """Report that a server went on although the connection of a copy broke."""
+    command = RefuteCrash(
+        digest=ContentDigest(digest),
+        server=BackendServerId(server),
+        incarnation=Incarnation(1),
+        parts=parts,
+    )
+    return table.apply(command, record(0))
+
+
+def crash_at(table: ContentTable, digest: str, *servers: str, parts=()) -> None:
+    """Admit one copy for each server, then report a crash of each."""
+    copies = [f"{digest}-{server}/1" for server in servers]
+    for server, copy in zip(servers, copies, strict=True):
+        admit(table, digest, copy, server=server, parts=parts)
+    for copy in copies:
+        end(table, digest, copy, ContentEnd.CRASHED)
+
+
+def test_lost_paths_to_servers_that_go_on_end_no_content():
+    table = ContentTable(is_registered=lambda server, incarnation: True)
+    crash_at(table, "sound", "s1", "s2", parts=(SYSTEM,))
+    assert isinstance(admit(table, "sound", "r/3"), ContentQuarantined)
+    assert refute(table, "sound", "s1", parts=(SYSTEM,)).changed
+    assert isinstance(admit(table, "sound", "r/4"), ContentAdmitted)
+    end(table, "sound", "r/4", ContentEnd.RELEASED)
+    refute(table, "sound", "s2", parts=(SYSTEM,))
+    content = table.contents[ContentDigest("sound")]
+    assert (content.n_crashes, content.n_quarantines) == (0, 0)
+    assert not refute(table, "sound", "s2").changed
+    results = [admit(table, f"other-{n}", "r/1", parts=(SYSTEM,)) for n in range(9)]
+    assert all(isinstance(result, ContentAdmitted) for result in results)
+
+
+def test_servers_that_ended_still_count_beside_a_refuted_crash():
+    table = ContentTable(is_registered=lambda server, incarnation: server == "s1")
+    crash_at(table, POISON, "s1", "s2")
+    assert not refute(table, POISON, "s2").changed
+    refute(table, POISON, "s1")
+    assert isinstance(admit(table, POISON, "r/4", server="s4"), ContentAdmitted)
+    assert isinstance(admit(table, POISON, "r/5", server="s5"), ContentWaits)
+    end(table, POISON, "r/4", ContentEnd.CRASHED)
+    assert isinstance(admit(table, POISON, "r/6", server="s6"), ContentQuarantined)
+    refute(table, POISON, "s1")
+    assert isinstance(admit(table, POISON, "r/7", server="s7"), ContentQuarantined)
+
+
 BAD, SYSTEM, DOCUMENT = (part_digest(p) for p in ("bad", "system", "document"))
 
 
--- a/test/decisions/test_poison_path.py
+++ b/test/decisions/test_poison_path.py
@@ -8,7 +8,11 @@
     start_instance,
     wait_until,
 )
-from turmericreel.fakes.backend_server import FakeBackendServer, FakeBehaviour
+from turmericreel.fakes.backend_server import (
+    FakeBackendServer,
+    FakeBehaviour,
+    FakeFault,
+)
 from turmericreel.model.ids import (
     BackendServerId,
     DataCentreId,
@@ -21,10 +25,11 @@
 
 POISON_WORD = "poison"
 CHAT = "/v1/chat/completions"
+OK = 200
+QUARANTINED = 422
 
 
-def start_poisonable_server(name: str, home: str) -> FakeBackendServer:
-    """Start a fake server that crashes on requests with the poison word."""
+def start_server(name: str, home: str, behaviour: FakeBehaviour) -> FakeBackendServer:
     server = BackendServer(
         server=BackendServerId(name),
         incarnation=Incarnation(1),
@@ -33,9 +38,7 @@
         data_centre=DataCentreId("north-mid-a"),
         address="127.0.0.1:0",
     )
-    fake = FakeBackendServer(
-        server=server, homes=[home], behaviour=FakeBehaviour(poison=POISON_WORD)
-    )
+    fake = FakeBackendServer(server=server, homes=[home], behaviour=behaviour)
     fake.start()
     return fake
 
@@ -45,7 +48,8 @@
     address = str(instance.http_address)
     operator = OperatorClient(address=address, key=OPERATOR_KEY)
     operator.submit(submission="s", base_revision=0, text=TEXT)
-    fakes = [start_poisonable_server(f"oven-{n}", address) for n in range(5)]
+    poisonable = FakeBehaviour(poison=POISON_WORD)
+    fakes = [start_server(f"oven-{n}", address, poisonable) for n in range(5)]
     client = instance.control_client
     wait_until(
         lambda: len(client.view.servers) == 5 and client.lease_valid(),
@@ -64,3 +68,32 @@
     assert answers[-1].status == 422
     assert answers[-1].json()["error"]["reason"] == "quarantined"
     assert innocent.status == 200
+
+
+def test_connections_that_break_while_servers_go_on_quarantine_no_request(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr("turmericreel.entry.contents.SURVIVAL_CHECK_DELAY_S", 0.5)
+    instance = start_instance(tmp_path)
+    address = str(instance.http_address)
+    operator = OperatorClient(address=address, key=OPERATOR_KEY)
+    operator.submit(submission="s", base_revision=0, text=TEXT)
+    breaking = FakeBehaviour(fault=FakeFault.NO_ANSWER)
+    fakes = [start_server(f"oven-{n}", address, breaking) for n in range(5)]
+    client = instance.control_client
+    wait_until(
+        lambda: len(client.view.servers) == 5 and client.lease_valid(),
+        what="five servers registered",
+    )
+
+    def status() -> int:
+        return http_call(address, "POST", CHAT, body=chat_body("hello")).status
+
+    try:
+        wait_until(lambda: status() == QUARANTINED, what="a quarantine")
+        breaking.fault = FakeFault.NONE
+        wait_until(lambda: status() == OK, what="an answer")
+    finally:
+        for fake in fakes:
+            fake.stop()
+        instance.stop()
--- a/turmericreel/entry/contents.py
+++ b/turmericreel/entry/contents.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+from eliot import log_message
 from gevent import sleep, spawn
 
 from turmericreel.coordination.control_client import ControlClient
@@ -25,6 +26,7 @@
     ContentQuarantined,
     ContentWaits,
     EndContent,
+    RefuteCrash,
 )
 from turmericreel.util.clock import Clock
 
@@ -87,7 +89,8 @@
     def report_end(self, dispatch: Dispatch, end: AttemptEnd) -> None:
         """Report how the attempt ended, in the background unless it was a crash.
 
-        A crash is reported before the caller can resend the content.
+        A crash is reported before the caller can resend the content, and taken back if
+        only the path to the server was lost.
         """
         if end is AttemptEnd.BROKEN and self.clock.monotonic() >= dispatch.deadline:
             # The answer missed the deadline, which does not indicate a crash.
@@ -99,6 +102,7 @@
                 spawn(self._report, dispatch, ContentEnd.RELEASED)
             case AttemptEnd.BROKEN:
                 self._report(dispatch, ContentEnd.CRASHED)
+                spawn(self._refute_crash, dispatch)
             case AttemptEnd.CANCELLED:
                 spawn(self._report_survival, dispatch)
 
@@ -147,22 +151,45 @@
         # A cancelled attempt has no outcome, so only the survival of its server shows
         # whether the content crashed it.
         sleep(SURVIVAL_CHECK_DELAY_S)
+        survived = self._has_survived(dispatch)
+        self._report(dispatch, ContentEnd.RELEASED if survived else ContentEnd.CRASHED)
+
+    def _refute_crash(self, dispatch: Dispatch) -> None:
+        sleep(SURVIVAL_CHECK_DELAY_S)
+        if not self._has_survived(dispatch):
+            return
+        server, digest = dispatch.server, dispatch.request.digest
+        log_message("entry:crash_refuted", content=digest, server=server.server)
+        self._propose(
+            RefuteCrash(
+                digest=digest,
+                server=server.server,
+                incarnation=server.incarnation,
+                parts=dispatch.request.prompt_parts,
+            )
+        )
+
+    def _has_survived(self, dispatch: Dispatch) -> bool:
         present = self.control.view.servers.get(dispatch.server.server)
-        survived = (
+        return (
             present is not None and present.incarnation == dispatch.server.incarnation
         )
-        end = ContentEnd.RELEASED if survived else ContentEnd.CRASHED
-        self._report(dispatch, end)
 
     def _report(self, dispatch: Dispatch, end: ContentEnd) -> None:
-        command = EndContent(
-            digest=dispatch.request.digest, copy=_copy_id(dispatch), end=end
+        # If it fails, the copy counts as a crash once its deadline passes.
+        self._propose(
+            EndContent(digest=dispatch.request.digest, copy=_copy_id(dispatch), end=end)
         )
+
+    def _propose(self, command: EndContent | RefuteCrash) -> None:
         try:
             self.control.propose(command, timeout=REPORT_TIMEOUT_S)
-        except FailureError:
-            # Without this command the copy counts as a crash once its deadline passes.
-            return
+        except FailureError as error:
+            log_message(
+                "entry:content_not_reported",
+                content=command.digest,
+                reason=error.failure.describe(),
+            )
 
 
 def _copy_id(dispatch: Dispatch) -> str:
--- a/turmericreel/state/commands/contents.py
+++ b/turmericreel/state/commands/contents.py
@@ -53,6 +53,18 @@
     end: ContentEnd
 
 
+class RefuteCrash(CommandStruct):
+    """Take back a crash if the server process is still registered.
+
+    The connection of a copy breaks as well if only the path to its server was lost.
+    """
+
+    digest: ContentDigest
+    server: BackendServerId
+    incarnation: Incarnation
+    parts: tuple[ContentDigest, ...] = ()
+
+
 class ContentAdmitted(CommandStruct):
     """The copy may be dispatched."""
 
--- a/turmericreel/state/commands/union.py
+++ b/turmericreel/state/commands/union.py
@@ -16,6 +16,7 @@
     ContentQuarantined,
     ContentWaits,
     EndContent,
+    RefuteCrash,
 )
 from turmericreel.state.commands.health import SetVersionHealth
 from turmericreel.state.commands.ledger import OpenIntent, ReportUsage, SettleIntent
@@ -63,6 +64,7 @@
     | ServerLeft
     | AdmitContent
     | EndContent
+    | RefuteCrash
     | SetVersionHealth
     | ExpireServers
     | PlaceOrder
--- a/turmericreel/state/tables/contents.py
+++ b/turmericreel/state/tables/contents.py
@@ -30,6 +30,7 @@
     ContentQuarantined,
     ContentWaits,
     EndContent,
+    RefuteCrash,
 )
 from turmericreel.state.commands.union import Command, LogRecord, Result
 from turmericreel.state.tables.part_quarantine import PartQuarantine, PartRecords
@@ -58,7 +59,7 @@
     @property
     def process(self) -> str:
         """Identifier of the server process; each process crashes only once."""
-        return f"{self.server}#{self.incarnation}"
+        return _process_name(self.server, self.incarnation)
 
 
 class Content(msgspec.Struct, kw_only=True):
@@ -72,6 +73,8 @@
         Complete runs since the last crash.
     crashed : list of str
         Newest server processes that crashed while running the content.
+    counted : list of str
+        Those of them that no complete run has cleared since.
     proven : set of VersionId
         Versions on which the content ran to completion.
     ended : list of str
@@ -89,6 +92,7 @@
     copies: dict[str, Copy] = {}
     ended: list[str] = []
     crashed: list[str] = []
+    counted: list[str] = []
 
     def can_admit(self, version: VersionId) -> bool:
         """Return whether one more copy keeps the limit on crashes."""
@@ -126,7 +130,7 @@
         Copies of suspects that run on each server.
     """
 
-    commands = (AdmitContent, EndContent)
+    commands = (AdmitContent, EndContent, RefuteCrash)
 
     def __init__(
         self,
@@ -141,10 +145,13 @@
         self.parts = PartQuarantine()
 
     def apply(self, command: Command, record: LogRecord) -> Result:
-        """Admit a copy, or record its end."""
+        """Admit a copy, record its end, or take a crash back."""
         self._remove_expired(record.time_ms)
-        if isinstance(command, AdmitContent):
-            return self._admit(command, record.time_ms)
+        match command:
+            case AdmitContent():
+                return self._admit(command, record.time_ms)
+            case RefuteCrash():
+                return self._refute(command)
         return self._end(command, record.time_ms)
 
     def _admit(self, command: AdmitContent, now_ms: int) -> Result:
@@ -190,6 +197,25 @@
         self._touch(command.digest, content, now_ms)
         return Done()
 
+    def _refute(self, command: RefuteCrash) -> Result:
+        if not self.is_registered(command.server, command.incarnation):
+            return Done(changed=False)
+        process = ServerProcess(command.server, command.incarnation)
+        self.parts.refute(command.parts, process)
+        content = self.contents.get(command.digest)
+        name = _process_name(command.server, command.incarnation)
+        if content is None or name not in content.counted:
+            return Done(changed=bool(command.parts))
+        # Each crash from the last one that is allowed on starts a quarantine.
+        if len(content.counted) >= MAX_CRASHES:
+            content.n_quarantines = max(content.n_quarantines - 1, 0)
+        content.crashed.remove(name)
+        content.counted.remove(name)
+        content.n_crashes = min(content.n_crashes, len(content.counted))
+        if len(content.counted) < MAX_CRASHES:
+            content.quarantined_until_ms = 0
+        return Done()
+
     def _drop_copy(self, content: Content, name: str) -> Copy:
         copy = content.copies.pop(name)
         self.parts.end(copy.parts)
@@ -213,6 +239,8 @@
         del content.crashed[:-MAX_CRASHED_PROCESSES]
         for name, other in content.copies.items():
             self._mark_suspect(other.server, name)
+        content.counted.append(copy.process)
+        del content.counted[:-MAX_CRASHED_PROCESSES]
         content.n_crashes += 1
         content.n_proofs = 0
         content.proven = set()
@@ -229,6 +257,7 @@
         if content.n_crashes > 0 and content.n_proofs < MIN_PROOFS_AFTER_CRASH:
             return
         content.n_crashes = 0
+        content.counted = []
         content.proven.add(copy.version)
 
     def _end_overdue(self, content: Content, now_ms: int) -> None:
@@ -294,3 +323,7 @@
             if content.n_crashes > 0:
                 for name, copy in content.copies.items():
                     self._mark_suspect(copy.server, name)
+
+
+def _process_name(server: BackendServerId, incarnation: Incarnation) -> str:
+    return f"{server}#{incarnation}"
--- a/turmericreel/state/tables/part_quarantine.py
+++ b/turmericreel/state/tables/part_quarantine.py
@@ -72,6 +72,11 @@
             if not self.sound_parts.is_sound(part, now=now):
                 self.quarantine.record_crash(part, process, now=now, now_ms=now_ms)
 
+    def refute(self, parts: Sequence[ContentDigest], process: ServerProcess) -> None:
+        """Take back the crash of a server process under these parts."""
+        for part in parts:
+            self.quarantine.refute(part, process)
+
     def dump(self) -> PartRecords:
         """Return a snapshot without the copies in flight."""
         return PartRecords(
