Keep calls to brittle servers within places at entry instances too

Servers that fall over when they must refuse many requests were known to gateways only: entry instances ignored what they say, and sent up to the policy's choice whatever was running there.

Entry instances now read the header, divide the places of the servers among themselves as gateways do, without messages, and pause a server that refused a call for which there was a place. A call without a place is refused unsent, as beyond a rate; it does not wait. The places are computed from slots by server id now, so that both ways share the decision.

Seen: the tests send no call beyond the places and no second one to a server that refused; before, all were sent. test/accounts and the tests of brittle servers pass.

--- a/test/accounts/test_request_path.py
+++ b/test/accounts/test_request_path.py
@@ -43,8 +43,8 @@
     **fields,
 ):
     defaults = {"service": ServiceName("helper-llm"), "kind": RequestKind.CHAT}
+    defaults["request_id"] = RequestId("r1")
     request = Request(
-        request_id=RequestId("r1"),
         account=ClientAccountId("household"),
         deadline=world.clock.monotonic() + 60.0,
         method="POST",
@@ -214,3 +214,41 @@
     pieces, failure = run_request(entry, world, [])
     assert isinstance(failure, NotRun)
     assert pieces == []
+
+
+def test_calls_beyond_the_places_of_brittle_servers_are_refused_unsent():
+    world = World()
+    entry = build_instance(world, "entry-1")
+    brittle = entry.path.attempts.brittle
+    service = ServiceName("helper-llm")
+    servers = entry.control.view.servers.values()
+    servers = [server for server in servers if server.service == service]
+    brittle.record_header(servers[0], "2")
+    for server in servers:
+        for _ in range(server.capacity):
+            assert brittle.may_send(server)
+            brittle.begin(server)
+        assert not brittle.may_send(server)
+    pieces, failure = run_request(entry, world, [])
+    assert isinstance(failure, NotRun)
+    assert (pieces, world.ran.total()) == ([], 0)
+    brittle.end(servers[0], was_refused=False)
+    pieces, failure = run_request(entry, world, [], request_id=RequestId("r2"))
+    assert failure is None
+    assert isinstance(pieces[-1], Finished)
+
+
+def test_brittle_server_that_refused_gets_no_more_calls_at_once():
+    world = World()
+    entry = build_instance(world, "entry-1")
+    brittle = entry.path.attempts.brittle
+    for server in entry.control.view.servers.values():
+        brittle.record_header(server, "1")
+    _, failure = run_request(entry, world, [AttemptScenario.REFUSED] * 9)
+    assert isinstance(failure, NotRun)
+    assert len(entry.servers.scenarios["r1"]) >= 9 - len(entry.control.view.servers)
+    refused = list(brittle.places.pauses)
+    assert refused
+    assert not brittle.n_running
+    for server in refused:
+        assert not brittle.may_send(entry.control.view.servers[server])
--- a/test/accounts/test_server_client.py
+++ b/test/accounts/test_server_client.py
@@ -360,3 +360,18 @@
         sleep(REORDERING_S)
         list(client.run(dispatch))
         assert client.rates.may_send(process, now=client.clock.monotonic())
+
+
+def test_what_a_server_says_of_its_refusals_is_passed_on():
+    client, heard = make_client(), []
+    client.on_brittle = lambda server, text: heard.append(text)
+    extras = iter(["Turmericreel-Brittle: 2\r\n", ""])
+
+    def script(sock, data) -> bool:
+        sock.sendall(stream_header(next(extras)) + b"".join(WHOLE_STREAM[1:]))
+        return True
+
+    with ScriptedServer(script=script) as server:
+        for _ in range(2):
+            list(client.run(dispatch_to(server.address)))
+    assert heard == ["2", ""]
--- a/test/routing/test_brittle_servers.py
+++ b/test/routing/test_brittle_servers.py
@@ -57,7 +57,8 @@
 def test_gateways_never_share_a_place(n_gateways):
     gateways = [f"g{n}" for n in range(n_gateways)]
     servers = [make_server(f"s{n}") for n in range(3)]
-    counts = [make_places(name, gateways).places(servers) for name in gateways]
+    slots = {server.server: server.n_slots for server in servers}
+    counts = [make_places(name, gateways).places(slots) for name in gateways]
     assert all(sum(c[s.server] for c in counts) == s.n_slots for s in servers)
     totals = [sum(count.values()) for count in counts]
     assert max(totals) - min(totals) <= 1
@@ -67,7 +68,7 @@
     gateways = [f"g{n}" for n in range(20)]
     places = make_places("g19", gateways)
     (server,) = [make_server("s1")]
-    own = places.places([server])
+    own = places.places({server.server: server.n_slots})
     assert own == {"s1": 0}
     places.record_heard(server.service, 2.0, now=0.0)
 
@@ -78,7 +79,7 @@
 
     assert may_send(0, 0.1)
     assert not may_send(1, 0.1)
-    places.record_refusal(server, has_place=False, now=0.2)
+    places.record_refusal("s1", server.service, has_place=False, now=0.2)
     assert not may_send(0, 0.2 + 0.4 * len(gateways) / 2.0 / 2)
     assert may_send(0, 0.2 + 1.6 * len(gateways) / 2.0)
 
--- a/turmericreel/decisions/server_places.py
+++ b/turmericreel/decisions/server_places.py
@@ -11,7 +11,7 @@
 them down.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from math import ceil, inf
 from random import Random
@@ -19,7 +19,6 @@
 from turmericreel.decisions.rate_limits import parse_rate
 from turmericreel.model.brittle_service import BrittleReport
 from turmericreel.model.ids import BackendServerId, InstanceId, ServiceName
-from turmericreel.model.registered_server import RegisteredServer
 
 # All servers of a service say that they are brittle, in all their answers, so a service
 # of which none has said so for this time no longer is.
@@ -133,16 +132,24 @@
             if now < known.heard_at + VALID_S
         )
 
-    def places(self, servers: Sequence[RegisteredServer]) -> dict[BackendServerId, int]:
-        """Return the number of this gateway's places at each server of a service."""
+    def places(
+        self, slots: Mapping[BackendServerId, int]
+    ) -> dict[BackendServerId, int]:
+        """Return the number of this gateway's places at each server of a service.
+
+        Parameters
+        ----------
+        slots : mapping of BackendServerId to int
+            Requests that each server of the service can run concurrently.
+        """
         gateways = sorted({*self.gateways(), self.instance})
         position = gateways.index(self.instance)
         places: dict[BackendServerId, int] = {}
         n_before = 0
-        for server in sorted(servers, key=lambda s: s.server):
+        for server, n_slots in sorted(slots.items()):
             first = (position - n_before) % len(gateways)
-            places[server.server] = len(range(first, server.n_slots, len(gateways)))
-            n_before += server.n_slots
+            places[server] = len(range(first, n_slots, len(gateways)))
+            n_before += n_slots
         return places
 
     def may_send(
@@ -175,13 +182,18 @@
         return not any(n_running(other) for other in places)
 
     def record_refusal(
-        self, server: RegisteredServer, *, has_place: bool, now: float
+        self,
+        server: BackendServerId,
+        service: ServiceName,
+        *,
+        has_place: bool,
+        now: float,
     ) -> None:
         """Record that a server refused a request for want of room."""
-        known = self.services.get(server.service)
+        known = self.services.get(service)
         if known is None:
             return
-        pause = self.pauses.setdefault(server.server, RefusalPause())
+        pause = self.pauses.setdefault(server, RefusalPause())
         # All gateways together may be refused this often.
         n_gateways = len({*self.gateways(), self.instance})
         longest_s = min(n_gateways / max(known.max_refusals, MIN_REFUSALS), MAX_PAUSE_S)
--- a/turmericreel/entry/attempts.py
+++ b/turmericreel/entry/attempts.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterator
 from functools import partial
+from random import Random
 
 from turmericreel.coordination.control_client import ControlClient
 from turmericreel.decisions.gateway_rates import GatewayRates
 from turmericreel.decisions.server_policy import AttemptEnd, EndedAttempt
 from turmericreel.decisions.slot_search import find_server
+from turmericreel.entry.brittle_servers import BrittleServers
 from turmericreel.entry.contents import ContentGuard
 from turmericreel.entry.observation import Observer
 from turmericreel.entry.pieces import Finished, Piece, Started, Tokens, WholeAnswer
@@ -62,6 +64,14 @@
         # Entry instances have no grants, and share the rates of servers equally.
         self.rates = GatewayRates(n_gateways=lambda: len(control.view.instances))
         server_client.rates = self.rates
+        self.brittle = BrittleServers(
+            instance=control.hello.instance,
+            instances=lambda: [i.instance for i in control.view.instances],
+            servers=lambda: control.view.servers,
+            clock=clock,
+            rng=Random(control.hello.instance),
+        )
+        server_client.on_brittle = self.brittle.record_header
 
     def check_lease(self) -> None:
         """Raise `NotRun` unless the lease, and thus the configuration, is valid now."""
@@ -126,13 +136,19 @@
             now=self.clock.monotonic(),
         )
 
+    def _may_send(self, server: BackendServer) -> bool:
+        """Return whether the rate and the places of a server allow an attempt now."""
+        is_within_rate = self.rates.may_send(
+            process_of(server), now=self.clock.monotonic()
+        )
+        return is_within_rate and self.brittle.may_send(server)
+
     def _take_rate(self, server: BackendServer) -> None:
         """Count a request, or raise `NotRun` if its server takes no more now."""
-        process, now = process_of(server), self.clock.monotonic()
-        if not self.rates.may_send(process, now=now):
-            # Another request took the server's rate while this one was admitted.
+        if not self._may_send(server):
+            # Another request took what was free while this one was admitted.
             raise _no_server()
-        self.rates.take(process, now=now)
+        self.rates.take(process_of(server), now=self.clock.monotonic())
 
     def _choose_server(
         self,
@@ -142,9 +158,8 @@
         progress: "_Progress",
     ) -> BackendServer:
         servers = self.control.view.servers.values()
-        now = self.clock.monotonic()
         present = [s for s in servers if s.service == request.service]
-        candidates = [s for s in present if self.rates.may_send(process_of(s), now=now)]
+        candidates = [server for server in present if self._may_send(server)]
         # A broken stream may resume at a server already tried if no other is usable.
         for excluded in [tried, set()] if progress.resumable else [tried]:
             server = find_server(
@@ -205,6 +220,7 @@
         servers = self.policies.servers
         began = self.clock.monotonic()
         servers.begin(dispatch.request, dispatch.server, now=began)
+        self.brittle.begin(dispatch.server)
         self.levels.record_dispatch(dispatch.request, dispatch.server, dispatch.version)
         recorder = self.observer.recorder(dispatch)
         end = AttemptEnd.CANCELLED
@@ -226,6 +242,7 @@
             has_run = recorder.status // 100 == 2
             failed = end is AttemptEnd.COMPLETED and not has_run
             self.contents.report_end(dispatch, AttemptEnd.FAILED if failed else end)
+            self.brittle.end(dispatch.server, was_refused=end is AttemptEnd.REFUSED)
             now = self.clock.monotonic()
             ended = EndedAttempt(
                 server=dispatch.server.server,
--- a/turmericreel/entry/server_client.py
+++ b/turmericreel/entry/server_client.py
@@ -1,6 +1,6 @@
 """Sends an attempt to a backend server and checks that the answer belongs to it."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -72,12 +72,18 @@
     ----------
     rates : GatewayRates
         Rates that servers name in their answers.
+    on_brittle : callable
+        Called with each server that answered, and what it says of the refusals that it
+        bears; empty if nothing.
     """
 
     def __init__(self, *, clock: Clock, idle_timeout_s: float = IDLE_TIMEOUT_S):
         self.clock = clock
         self.idle_timeout_s = idle_timeout_s
         self.rates = GatewayRates()
+        self.on_brittle: Callable[[BackendServer, str], None] = lambda server, text: (
+            None
+        )
         self.connections = ServerConnections(clock=clock)
 
     def run(self, dispatch: Dispatch) -> Iterator[Piece]:
@@ -138,6 +144,7 @@
         except FailureError as error:
             raise _unknown(dispatch, error.failure.describe()) from error
         self._record_rate(dispatch, answer)
+        self.on_brittle(dispatch.server, answer.header(headers.BRITTLE))
         _check_identity(dispatch, answer)
         refused = answer.header(headers.REFUSED)
         if refused:
--- a/turmericreel/gateway/brittle_servers.py
+++ b/turmericreel/gateway/brittle_servers.py
@@ -156,9 +156,11 @@
         if self.places.is_brittle(service, now=now):
             if was_refused:
                 self.n_refused_by_servers += 1
-                own = self.places.places(self.servers_of(service))
+                own = self._own_places(service)
                 has_place = any(own.values())
-                self.places.record_refusal(server, has_place=has_place, now=now)
+                self.places.record_refusal(
+                    server.server, service, has_place=has_place, now=now
+                )
             else:
                 self.places.record_answer(server.server)
                 mean_s = self.held_s.get(service, FIRST_HELD_S)
@@ -169,7 +171,7 @@
         self, service: ServiceName, servers: list[RegisteredServer]
     ) -> list[RegisteredServer]:
         now = self.clock.monotonic()
-        own = self.places.places(self.servers_of(service))
+        own = self._own_places(service)
         return [
             server
             for server in servers
@@ -178,6 +180,11 @@
             )
         ]
 
+    def _own_places(self, service: ServiceName) -> dict[BackendServerId, int]:
+        return self.places.places(
+            {server.server: server.n_slots for server in self.servers_of(service)}
+        )
+
     def _n_running(self, server: BackendServerId) -> int:
         load = self.loads.loads.get(server)
         return load.n_running if load is not None else 0
@@ -220,7 +227,7 @@
 
     def _expected_wait_s(self, service: ServiceName) -> float:
         """Return how long one more request would wait for a place."""
-        own = sum(self.places.places(self.servers_of(service)).values())
+        own = sum(self._own_places(service).values())
         n_ahead = len(self.waiters.get(service, ()))
         return n_ahead * self.held_s.get(service, FIRST_HELD_S) / max(own, 1)
 
@@ -236,7 +243,7 @@
     def _log_brittle(
         self, service: ServiceName, max_refusals: float, *, server: str
     ) -> None:
-        own = self.places.places(self.servers_of(service))
+        own = self._own_places(service)
         log_message(
             "gateway:brittle",
             service=service,
--- a/turmericreel/protocols/headers.py
+++ b/turmericreel/protocols/headers.py
@@ -16,6 +16,7 @@
 RESUME_FROM = "Turmericreel-Resume-From"
 REFUSED = "Turmericreel-Refused"
 RATE_LIMIT = "Turmericreel-Rate-Limit"
+BRITTLE = "Turmericreel-Brittle"
 
 # Values of the outcome header.  A stream is complete only with its end marker.
 COMPLETED = "Completed"
