Try a gateway of another data centre second when paths are lost

Cuts often take most or all of a data centre. A gateway that lost its paths asked those of its own data centre first, three for a connection, and the next only after each of them had failed: with 30 gateways there, ten connections in turn found none, each up to 0.4 s long where connections hang.

The second gateway of which nothing is known is now of another data centre than the first.

--- a/turmericreel/decisions/relay_choice.py
+++ b/turmericreel/decisions/relay_choice.py
@@ -69,6 +69,9 @@
         Those that lately reached a server come first, in random order so that the load
         spreads, then those that never failed or did so longest ago, and of these those
         of the same data centre.  If all are left out, one is tried.
+
+        The second one of which nothing is known is of another data centre than the
+        first, as a whole data centre may be cut off.
         """
         others = [g for g in gateways if g.instance != self.instance]
         free = [g for g in others if now >= self._of(g).pause_deadline]
@@ -76,8 +79,10 @@
             others.sort(key=lambda g: self._of(g).pause_deadline)
             return others[:1]
         shuffled = self.rng.sample(free, len(free))
-        shuffled.sort(key=lambda g: self._rank(g, now))
-        return shuffled[:MAX_TRIED]
+        proven = [g for g in shuffled if now < self._of(g).proven_deadline]
+        others = [g for g in shuffled if now >= self._of(g).proven_deadline]
+        others.sort(key=self._rank)
+        return [*proven, *_with_another_data_centre_second(others)][:MAX_TRIED]
 
     def record_success(self, gateway: InstanceId, *, now: float) -> None:
         """Record that a gateway reached a server."""
@@ -105,11 +110,18 @@
         for gateway in set(self.records) - listed:
             del self.records[gateway]
 
-    def _rank(self, gateway: GatewayInstance, now: float) -> tuple[bool, float, bool]:
-        record = self._of(gateway)
-        if now < record.proven_deadline:
-            return (False, 0.0, False)
-        return (True, record.failed_at, gateway.data_centre != self.data_centre)
+    def _rank(self, gateway: GatewayInstance) -> tuple[float, bool]:
+        is_elsewhere = gateway.data_centre != self.data_centre
+        return (self._of(gateway).failed_at, is_elsewhere)
 
     def _of(self, gateway: GatewayInstance) -> RelayRecord:
         return self.records.get(gateway.instance, RelayRecord())
+
+
+def _with_another_data_centre_second(
+    gateways: list[GatewayInstance],
+) -> list[GatewayInstance]:
+    for n, gateway in enumerate(gateways):
+        if gateway.data_centre != gateways[0].data_centre:
+            return [gateways[0], gateway, *gateways[1:n], *gateways[n + 1 :]]
+    return gateways
