Let a gateway carry more connections for gateways that are cut off

With most gateways cut off, the few that are left carry what all others send. Nine engines with 64 slots each run 576 requests at a time, but a gateway carried 256 connections at most, and refused the rest, so that the requests of the others would have been refused as well. It has a test now.

--- a/test/routing/test_relays.py
+++ b/test/routing/test_relays.py
@@ -97,6 +97,19 @@
     )
 
 
+def test_relays_of_one_gateway_are_bounded(system, monkeypatch):
+    monkeypatch.setattr("turmericreel.gateway.relay_listener.MAX_RELAYS", 1)
+    address = parse_address(system.servers["s0"].address)
+    first = system.gateways[0].connections.relayed.connect(address, timeout=1.0)
+    answer = ask_for_relay(system, str(address), source="127.0.2.1")
+    assert answer == RelayFailed(
+        obstacle=RelayObstacle.GATEWAY, detail="too many connections"
+    )
+    first.close()
+    wait_until(lambda: system.gateways[1].relays.n_relays == 0, "no open relay")
+    system.gateways[0].connections.relayed.connect(address, timeout=1.0).close()
+
+
 def test_unsafe_request_runs_once_when_its_relayed_connection_breaks(system):
     for server in system.servers.values():
         server.misbehaviours.append(Misbehaviour.CUT_BEFORE)
--- a/turmericreel/gateway/relay_listener.py
+++ b/turmericreel/gateway/relay_listener.py
@@ -31,8 +31,9 @@
 from turmericreel.protocols.sockets import set_unacknowledged_timeout
 from turmericreel.util.clock import Clock
 
-# Bounds what other gateways may use of the descriptors and memory of this one.
-MAX_RELAYS = 256
+# Bounds what other gateways may use of the descriptors and memory of this one.  It may
+# be the only one that reaches servers.
+MAX_RELAYS = 640
 HANDSHAKE_TIMEOUT_S = 1.0
 MAX_TIMEOUT_S = 0.4
 # Of the time for which the other gateway waits, what is left for its answer.
