Do not count attempts that a lost path broke as evidence about a version

A gateway that lost its paths rolled back a sound version: eight requests at the new version, whose connections were reset with the path, counted as its failures, and eight of fourteen is far beyond what the old version fails. A roll-back is final, so taking the counts back later would not help.

Attempts that end badly are now counted once the path to their server is known: they stay among the running ones while it is checked, which a lost connection starts, and are dropped if another gateway reaches the server. Attempts in progress at that moment are dropped too, as the path may have held them up. They still count as exposed to the version.

--- a/test/routing/test_cut_off_gateways.py
+++ b/test/routing/test_cut_off_gateways.py
@@ -6,10 +6,11 @@
 from gevent import joinall, sleep, spawn
 
 from test.routing.gateway_paths import Cut, FirstTries, GatewayPaths
-from test.routing.library import make_route
+from test.routing.library import SERVICE, make_route
 from test.routing.small_system import NAMES, small_system, stream_route, wait_until
-from turmericreel.decisions.server_paths import PathState
-from turmericreel.model.routing import RouteKind
+from turmericreel.decisions.server_paths import LOST_PATH_S, PathState
+from turmericreel.decisions.version_split import is_canary, session_hash
+from turmericreel.model.routing import RolloutStage, RouteKind
 from turmericreel.protocols.addresses import parse_address
 
 N_GATEWAYS = 6
@@ -21,6 +22,8 @@
 MAX_FAILED = 10
 MAX_FAILED_FRACTION = 1 / 50
 PER_SECOND = 16.0
+# Requests at a new version that a lost path breaks; so many failures end a roll-out.
+N_BROKEN = 8
 
 
 @pytest.fixture
@@ -145,3 +148,40 @@
     system.paths[0].cut(Cut.RESET)
     joinall(running)
     wait_until_crashes_are_refuted(system)
+
+
+def test_gateways_that_lose_their_paths_end_no_rollout(tmp_path):
+    with small_system(tmp_path, n_gateways=2) as system:
+        system.submit(make_route("/unsafe/", kind=RouteKind.UNSAFE, max_attempts=1))
+        servers = [system.add_server("old"), system.add_server("new", version="v2")]
+        paths = [GatewayPaths(gateway) for gateway in system.gateways]
+        canary = RolloutStage.CANARY
+        names = [f"session-{n}" for n in range(200)]
+        canaries = [n for n in names if is_canary(session_hash(n))][:N_BROKEN]
+
+        def send(session: str) -> int:
+            header = {NAMES.session.replace("-", "_"): session}
+            return system.call(f"/unsafe/{session}", method="POST", **header)[0]
+
+        system.leader.order_rollout(SERVICE, "v2", duration_ms=20_000)
+        views = [gateway.view for gateway in system.gateways]
+        wait_until(lambda: all(v.rollouts for v in views), "the roll-out")
+        wait_until(
+            lambda: all(v.rollouts[SERVICE].stage is canary for v in views), "a canary"
+        )
+        for server in servers:
+            server.n_places, server.work_s = len(names), 0.5
+        answered = [spawn(send, session) for session in names[:80]]
+        joinall(answered)
+        assert {task.value for task in answered} == {200}
+        broken = [spawn(send, session) for session in canaries]
+        sleep(0.2)
+        paths[0].cut(Cut.RESET)
+        joinall(broken)
+        assert {task.value for task in broken} == {502}
+        sleep(LOST_PATH_S)
+        assert system.leader.machine.rollouts[SERVICE].stage is canary
+        evidence = system.gateways[0].status().evidence
+        assert sum(counted.n_failed for counted in evidence) == 0
+        for path in paths:
+            path.stop()
--- a/test/routing/test_rollouts.py
+++ b/test/routing/test_rollouts.py
@@ -365,3 +365,38 @@
     assert by_load[1].event_waits.n_finished == 1
     assert by_load[3].event_waits.n_finished == 1
     assert (by_load[1].n_running, by_load[3].n_running) == (0, 1)
+
+
+def test_failures_of_a_lost_path_are_no_evidence_about_the_version():
+    counter = EvidenceCounter()
+    broken, given_up, running = (
+        counter.begin(make_server("s1"), ROUTE, now=0.0) for _ in range(3)
+    )
+    elsewhere = counter.begin(make_server("s2"), ROUTE, now=0.0)
+    broken.record_end(failed=True, ran=True, now=1.0)
+    given_up.record_end(failed=False, ran=True, now=1.0)
+    elsewhere.record_end(failed=True, ran=True, now=1.0)
+    (held,) = counter.for_services({SERVICE}, now=1.1, held={"s1"})
+    assert (held.n_sent, held.n_failed, held.n_running) == (4, 1, 3)
+    counter.exclude("s1", running=True)
+    running.record_events(1, now=2.0)
+    running.record_end(failed=True, ran=True, now=3.0)
+    (evidence,) = counter.for_services({SERVICE}, now=4.0)
+    assert (evidence.n_sent, evidence.n_failed, evidence.n_running) == (1, 1, 0)
+    assert evidence.n_attempts == 4
+    assert evidence.first_waits.unfinished == {bucket_of(1.0): 1}
+    assert not evidence.first_waits.finished
+
+
+def test_failures_count_once_it_is_known_that_the_path_works():
+    counter = EvidenceCounter()
+    attempt = counter.begin(make_server("s1"), ROUTE, now=0.0)
+    attempt.record_end(failed=True, ran=True, now=1.0)
+    counter.for_services({SERVICE}, now=1.1, held={"s1"})
+    for now in (2.0, 3.0):
+        (evidence,) = counter.for_services({SERVICE}, now=now)
+        assert (evidence.n_sent, evidence.n_failed) == (1, 1)
+        assert evidence.first_waits.unfinished == {bucket_of(1.0): 1}
+    counter.exclude("s1", running=True)
+    (evidence,) = counter.for_services({SERVICE}, now=4.0)
+    assert (evidence.n_sent, evidence.n_failed) == (1, 1)
--- a/turmericreel/gateway/evidence.py
+++ b/turmericreel/gateway/evidence.py
@@ -1,10 +1,15 @@
-"""Counts the attempts at each service version, to evaluate roll-outs."""
+"""Counts the attempts at each service version, to evaluate roll-outs.
 
-from collections import Counter, defaultdict
-from collections.abc import Callable
+Attempts that end badly are counted only once it is known whether the path to their
+server was lost, as that tells nothing of the version.
+"""
+
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
+from math import inf
 
-from turmericreel.model.ids import ServiceName, VersionId
+from turmericreel.model.ids import BackendServerId, ServiceName, VersionId
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import RouteName
 from turmericreel.model.version_evidence import (
@@ -20,6 +25,8 @@
 # two events does not count as slowness.
 EVENTS_PER_WAIT = 8
 MIN_EVENTS_PER_WAIT = 2
+# Bounds the memory while no report is due; the oldest attempts are counted then.
+MAX_UNSETTLED = 1_024
 
 
 @dataclass(kw_only=True)
@@ -33,12 +40,15 @@
     first_given_up: Counter[int] = field(default_factory=Counter)
     event_finished: Counter[int] = field(default_factory=Counter)
     event_given_up: Counter[int] = field(default_factory=Counter)
+    # Also those that have ended but are not settled.
     running: set["AttemptCounter"] = field(default_factory=set)
 
     def first_waits(self, *, now: float) -> WaitCounts:
         """Return the waits for the first event, with those that go on."""
         unfinished = self.first_given_up + Counter(
-            bucket_of(now - a.began) for a in self.running if not a.has_answer
+            bucket_of(a.last_waited_at(now) - a.began)
+            for a in self.running
+            if not a.has_answer
         )
         return WaitCounts(
             finished=dict(self.first_finished), unfinished=dict(unfinished)
@@ -59,6 +69,7 @@
 
     Parameters
     ----------
+    server : BackendServerId
     counts_by_load : dict of LoadClass to AttemptCounts
         A wait is counted under the load that the server had when the wait began.
     load : callable
@@ -67,23 +78,32 @@
         Seconds on the monotonic clock.
     is_counted : bool
         Whether the attempt counts as sent, and as failed if it fails.
+    unsettled : deque of AttemptCounter
+        Attempts that ended badly, to which this one adds itself.
     """
 
     def __init__(
         self,
         *,
+        server: BackendServerId,
         counts_by_load: dict[LoadClass, AttemptCounts],
         load: Callable[[], float],
         began: float,
         is_counted: bool,
+        unsettled: "deque[AttemptCounter]",
     ):
+        self.server = server
         self.counts_by_load = counts_by_load
         self.load = load
-        self.counts = counts_by_load[load_class_of(load())]
+        self.counts = self.first_counts = counts_by_load[load_class_of(load())]
         self.began = began
         self.is_counted = is_counted
-        self.is_open = True
+        self.unsettled = unsettled
+        self.ended_at = inf
+        self.has_failed = False
+        self.has_run = False
         self.has_answer = False
+        self.is_excluded = False
         self.n_events = 0
         self.block_began = began
         self.last_event_at = began
@@ -100,6 +120,8 @@
 
     def record_events(self, n_events: int, *, now: float) -> None:
         """Record events of a stream, or once a whole answer."""
+        if self.is_excluded:
+            return
         self.last_event_at = now
         if not self.has_answer:
             self.has_answer = True
@@ -112,7 +134,7 @@
             self.update_load()
 
     def record_end(self, *, failed: bool, ran: bool, now: float) -> None:
-        """Count the end of the attempt.
+        """Record the end of the attempt, which is counted now or once it is settled.
 
         Parameters
         ----------
@@ -122,24 +144,47 @@
         now : float
             Seconds on the monotonic clock.
         """
-        if not self.is_open:
+        if self.ended_at < inf or self.is_excluded:
             return
-        self.is_open = False
+        self.ended_at = now
+        self.has_failed = failed and self.is_counted
+        self.has_run = ran
+        if failed or (ran and not self.has_answer):
+            self.unsettled.append(self)
+            if len(self.unsettled) > MAX_UNSETTLED:
+                self.unsettled.popleft().settle()
+        else:
+            self.settle()
+
+    def settle(self) -> None:
+        """Count the end of the attempt."""
         self.counts.running.discard(self)
-        self.counts.n_failed += failed and self.is_counted
-        if not ran:
+        self.counts.n_failed += self.has_failed
+        if not self.has_run:
             return
         if not self.has_answer:
-            self.counts.first_given_up[bucket_of(now - self.began)] += 1
+            self.counts.first_given_up[bucket_of(self.ended_at - self.began)] += 1
             return
         if self.n_events >= MIN_EVENTS_PER_WAIT:
             self._finish_block()
         else:
-            self.counts.event_given_up[self.unfinished_event_wait(now)] += 1
+            wait = self.unfinished_event_wait(self.ended_at)
+            self.counts.event_given_up[wait] += 1
+
+    def exclude(self) -> None:
+        """Do not count the attempt as sent, nor how it goes on and ends."""
+        self.is_excluded = True
+        self.counts.running.discard(self)
+        self.first_counts.n_sent -= self.is_counted
+
+    def last_waited_at(self, now: float) -> float:
+        """Return until when the attempt has waited."""
+        return min(now, self.ended_at)
 
     def unfinished_event_wait(self, now: float) -> int:
         """Return the bucket of the least mean wait that the current block can have."""
-        return bucket_of((now - self.block_began) / EVENTS_PER_WAIT)
+        waited_s = self.last_waited_at(now) - self.block_began
+        return bucket_of(waited_s / EVENTS_PER_WAIT)
 
     def _finish_block(self) -> None:
         wait_s = (self.last_event_at - self.block_began) / self.n_events
@@ -149,12 +194,20 @@
 
 
 class EvidenceCounter:
-    """Counts attempts by service, version and route since the process started."""
+    """Counts attempts by service, version and route since the process started.
+
+    Attributes
+    ----------
+    counts : dict of CountsKey to dict of LoadClass to AttemptCounts
+    unsettled : deque of AttemptCounter
+        Attempts that ended badly and are not counted as ended yet.
+    """
 
     def __init__(self):
         self.counts: dict[CountsKey, dict[LoadClass, AttemptCounts]] = defaultdict(
             lambda: defaultdict(AttemptCounts)
         )
+        self.unsettled: deque[AttemptCounter] = deque()
 
     def begin(
         self,
@@ -174,16 +227,45 @@
         """
         key = (server.service, server.version, route)
         return AttemptCounter(
+            server=server.server,
             counts_by_load=self.counts[key],
             load=load,
             began=now,
             is_counted=not after_failure,
+            unsettled=self.unsettled,
         )
 
+    def exclude(self, server: BackendServerId, *, running: bool) -> None:
+        """Drop the attempts that a lost path to a server has broken.
+
+        Parameters
+        ----------
+        server : BackendServerId
+        running : bool
+            Whether to drop also those that are in progress, which it may have held up.
+        """
+        affected = {a for a in self.unsettled if a.server == server}
+        if running:
+            for counts_by_load in self.counts.values():
+                for counts in counts_by_load.values():
+                    affected |= {a for a in counts.running if a.server == server}
+        for attempt in affected:
+            attempt.exclude()
+        for attempt in affected.intersection(self.unsettled):
+            self.unsettled.remove(attempt)
+
     def for_services(
-        self, services: set[ServiceName], *, now: float
+        self,
+        services: set[ServiceName],
+        *,
+        now: float,
+        held: Container[BackendServerId] = (),
     ) -> tuple[VersionEvidence, ...]:
-        """Return the evidence about the given services."""
+        """Return the evidence about the given services.
+
+        Attempts that ended badly at servers in `held` still count as running.
+        """
+        self._settle(held)
         return tuple(
             VersionEvidence(
                 service=service,
@@ -201,3 +283,11 @@
             if service in services
             for load, counts in counts_by_load.items()
         )
+
+    def _settle(self, held: Container[BackendServerId]) -> None:
+        for _ in range(len(self.unsettled)):
+            attempt = self.unsettled.popleft()
+            if attempt.server in held:
+                self.unsettled.append(attempt)
+            else:
+                attempt.settle()
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -260,7 +260,9 @@
                 takes_clients=self.is_ready,
             ),
             revision=self.view.revision,
-            evidence=self.evidence.for_services(evaluated, now=self.clock.monotonic()),
+            evidence=self.evidence.for_services(
+                evaluated, now=self.clock.monotonic(), held=self._checked_servers()
+            ),
             rollouts_seen=tuple(
                 rollout.without_sessions() for rollout in self.view.rollouts.values()
             ),
@@ -304,6 +306,7 @@
         for server in self.view.servers.values():
             if server.address == address:
                 self.guard.record_cut_path(process_of(server))
+                self.evidence.exclude(server.server, running=is_new)
                 if is_new:
                     self.chooser.loads.forget_failures(server.server)
 
