Observe a version after the deadline if the traffic has risen

A switched version is now observed for up to 3 s after the deadline if there were far more requests lately than usual.

--- a/test/routing/library.py
+++ b/test/routing/library.py
@@ -160,7 +160,7 @@
 ):
     """Judge a roll-out that began at 0 s and is due at 10 s."""
     if isinstance(rate, float):
-        rate = TrafficRate(mean=rate, recent=rate)
+        rate = TrafficRate(mean=rate, usual=rate, recent=rate, highest=rate)
     return judge_rollout(
         make_rollout(stage),
         evidence,
--- a/test/routing/test_rollout_exposure.py
+++ b/test/routing/test_rollout_exposure.py
@@ -6,7 +6,7 @@
 
 from test.routing.library import judge, make_evidence
 from turmericreel.decisions.exposure_limit import ExposureLimit
-from turmericreel.decisions.rollout_traffic import RolloutTraffic
+from turmericreel.decisions.rollout_traffic import RolloutTraffic, TrafficRate
 from turmericreel.decisions.version_split import CANARY_SHARE
 from turmericreel.model.routing import RolloutStage
 
@@ -83,3 +83,40 @@
             stage = moved or stage
         assert stage in (last_stage, RolloutStage.COMPLETED)
         assert n_exposed <= share * n_sent + 15.0
+
+
+def measure_steady(per_second: float, *, seed: int) -> list[TrafficRate]:
+    """Measure random traffic of a constant rate for 18 seconds."""
+    rng = Random(seed)
+    traffic, n_sent, next_at = RolloutTraffic(now=0.0), 0, 0.0
+    rates = []
+    for tick in range(1, 91):
+        while next_at < 0.2 * tick:
+            n_sent += 1
+            next_at += rng.expovariate(per_second)
+        traffic.record_counts(("gateway", 1), n_attempts=n_sent, n_exposed=0)
+        rate = traffic.measure_rate(now=0.2 * tick)
+        if rate is not None:
+            rates.append(rate)
+    return rates
+
+
+@pytest.mark.parametrize("per_second", [5.0, 30.0, 300.0])
+def test_random_variation_is_no_rise_of_the_traffic(per_second):
+    last = [measure_steady(per_second, seed=seed)[-1] for seed in range(200)]
+    assert sum(rate.has_risen for rate in last) <= 0.05 * len(last)
+
+
+def test_version_is_observed_after_the_deadline_when_traffic_rose_after_its_canary():
+    traffic, n_sent = RolloutTraffic(now=0.0), 0
+    for tick in range(1, 50):
+        n_sent += 15 if tick > 40 else 8
+        traffic.record_counts(("gateway", 1), n_attempts=n_sent, n_exposed=40)
+        rate = traffic.measure_rate(now=0.2 * tick)
+    good = [make_evidence("v1", n_sent=n_sent), make_evidence("v2", n_sent=60)]
+    options = {"stage": RolloutStage.SWITCHED, "rate": rate}
+    assert judge(*good, now=9.8, **options) is None
+    assert judge(*good, now=12.9, **options) is None
+    assert judge(*good, now=13.1, **options) is RolloutStage.COMPLETED
+    bad = [good[0], make_evidence("v2", n_sent=60, n_failed=20)]
+    assert judge(*bad, now=11.0, **options) is RolloutStage.ROLLED_BACK
--- a/turmericreel/decisions/rollout_judge.py
+++ b/turmericreel/decisions/rollout_judge.py
@@ -47,6 +47,9 @@
 # Time before the deadline from which a switched roll-out is completed at once, so that
 # operators learn of it in time.
 COMPLETION_MARGIN_S = 1.0
+# Time after the deadline until which a version is observed if the traffic has risen, as
+# its servers then have another load than the one at which it was judged.
+OBSERVATION_S = 3.0
 # Answers that the new version needs before it serves all requests.
 MIN_CANARY_ANSWERS = 5
 # Answers that it needs before the roll-out is completed early. A version of which a
@@ -154,6 +157,9 @@
                 left_s=deadline - now,
             )
         return RolloutStage.SWITCHED if may_switch else None
+    has_risen = rate is not None and rate.has_risen
+    if has_risen and now < deadline + OBSERVATION_S:
+        return None
     idle = seen_by_all and old[None].n_running == 0
     proved = new[None].n_ended >= MIN_COMPLETION_ANSWERS
     if (idle and proved) or now >= deadline - COMPLETION_MARGIN_S:
--- a/turmericreel/decisions/rollout_traffic.py
+++ b/turmericreel/decisions/rollout_traffic.py
@@ -7,12 +7,20 @@
 
 from collections import deque
 from dataclasses import dataclass
+from math import sqrt
+from statistics import median
 
 from turmericreel.model.ids import Incarnation, InstanceId
 
 MIN_SPAN_S = 1.0
 # Traffic in a burst doubles within a second; shorter spans hold too few attempts.
 RECENT_SPAN_S = 2.0
+# Traffic in a burst varies; it has not ended before it was lower for this time.
+HIGHEST_SPAN_S = 6.0
+# The rate has risen if it exceeds the usual one by this factor and by as many standard
+# deviations.
+RISE_FACTOR = 1.3
+RISE_DEVIATIONS = 4.0
 
 GatewayProcess = tuple[InstanceId, Incarnation]
 
@@ -25,12 +33,23 @@
     ----------
     mean : float
         Since the measurement began.
-    recent : float
-        In the last seconds.
+    usual : float
+        Median of the rates of past seconds, which a burst hardly changes.
+    recent, highest : float
+        In the last seconds, and the highest that this was lately.
     """
 
     mean: float
+    usual: float
     recent: float
+    highest: float
+
+    @property
+    def has_risen(self) -> bool:
+        """Whether there were far more attempts lately than usual."""
+        deviation = sqrt(self.usual / RECENT_SPAN_S)
+        least = self.usual + RISE_DEVIATIONS * deviation
+        return self.highest > max(RISE_FACTOR * self.usual, least)
 
 
 class RolloutTraffic:
@@ -50,6 +69,10 @@
     samples : deque of tuple
         Recent times in seconds on the monotonic clock, each with the attempts since the
         measurement began.
+    past_rates : list of float
+        Recent rates, one for each `RECENT_SPAN_S`.
+    recent_rates : deque of tuple
+        Times in seconds on the monotonic clock, each with the recent rate then.
     """
 
     def __init__(self, *, now: float):
@@ -58,6 +81,8 @@
         self.n_attempts: dict[GatewayProcess, int] = {}
         self.n_exposed: dict[GatewayProcess, int] = {}
         self.samples: deque[tuple[float, int]] = deque()
+        self.past_rates: list[float] = []
+        self.recent_rates: deque[tuple[float, float]] = deque()
 
     def record_counts(
         self, gateway: GatewayProcess, *, n_attempts: int, n_exposed: int
@@ -82,5 +107,16 @@
         since, n_then = self.samples[0]
         mean = total / (now - self.began)
         if now - since < MIN_SPAN_S:
-            return TrafficRate(mean=mean, recent=mean)
-        return TrafficRate(mean=mean, recent=(total - n_then) / (now - since))
+            return TrafficRate(mean=mean, usual=mean, recent=mean, highest=mean)
+        recent = (total - n_then) / (now - since)
+        if now >= self.began + (len(self.past_rates) + 1) * RECENT_SPAN_S:
+            self.past_rates.append(recent)
+        self.recent_rates.append((now, recent))
+        while now - self.recent_rates[0][0] > HIGHEST_SPAN_S:
+            self.recent_rates.popleft()
+        return TrafficRate(
+            mean=mean,
+            usual=median(self.past_rates) if self.past_rates else mean,
+            recent=recent,
+            highest=max(rate for _, rate in self.recent_rates),
+        )
