Forget the pauses of brittle servers that are gone at entry instances

Found when reading the change: a server that refused a call and left stayed in the table of pauses for good. Gateways drop such servers when their lists change; entry instances do so now at each refusal. The test fails without it.

--- a/test/accounts/test_request_path.py
+++ b/test/accounts/test_request_path.py
@@ -252,3 +252,8 @@
     assert not brittle.n_running
     for server in refused:
         assert not brittle.may_send(entry.control.view.servers[server])
+    gone = entry.control.view.servers.pop(refused[0])
+    brittle.end(gone, was_refused=True)
+    other = next(iter(entry.control.view.servers.values()))
+    brittle.end(other, was_refused=True)
+    assert gone.server not in brittle.places.pauses
--- a/turmericreel/entry/brittle_servers.py
+++ b/turmericreel/entry/brittle_servers.py
@@ -93,6 +93,7 @@
         if not was_refused:
             self.places.record_answer(server.server)
             return
+        self.places.drop_unregistered(set(self.servers()))
         self.places.record_refusal(
             server.server,
             server.service,
