--- a/turmericreel/decisions/server_places.py
+++ b/turmericreel/decisions/server_places.py
@@ -92,6 +92,10 @@
         self.services: dict[ServiceName, BrittleService] = {}
         self.pauses: dict[BackendServerId, RefusalPause] = {}
 
+    def n_gateways(self) -> int:
+        """Return the number of gateways that share the places."""
+        return len({*self.gateways(), self.instance})
+
     def is_brittle(self, service: ServiceName, *, now: float) -> bool:
         """Return whether the servers of a service have lately said so."""
         known = self.services.get(service)
@@ -188,20 +192,29 @@
         *,
         has_place: bool,
         now: float,
-    ) -> None:
-        """Record that a server refused a request for want of room."""
+    ) -> float:
+        """Record that a server refused a request for want of room.
+
+        Returns
+        -------
+        pause_s : float
+            Time for which this gateway sends the server nothing, in seconds.
+        """
         known = self.services.get(service)
         if known is None:
-            return
+            return 0.0
         pause = self.pauses.setdefault(server, RefusalPause())
         # All gateways together may be refused this often.
-        n_gateways = len({*self.gateways(), self.instance})
-        longest_s = min(n_gateways / max(known.max_refusals, MIN_REFUSALS), MAX_PAUSE_S)
+        longest_s = min(
+            self.n_gateways() / max(known.max_refusals, MIN_REFUSALS), MAX_PAUSE_S
+        )
         pause_s = longest_s
         if has_place:
             pause_s = min(REFUSAL_PAUSE_S * 2**pause.n_refusals, longest_s)
         pause.n_refusals += 1
-        pause.deadline = now + pause_s * self.rng.uniform(0.5, 1.5)
+        pause_s *= self.rng.uniform(0.5, 1.5)
+        pause.deadline = now + pause_s
+        return pause_s
 
     def record_answer(self, server: BackendServerId) -> None:
         """Record that a server ran a request."""
--- a/turmericreel/entry/brittle_servers.py
+++ b/turmericreel/entry/brittle_servers.py
@@ -94,12 +94,23 @@
             self.places.record_answer(server.server)
             return
         self.places.drop_unregistered(set(self.servers()))
-        self.places.record_refusal(
+        own = self._own_places(server.service)
+        pause_s = self.places.record_refusal(
             server.server,
             server.service,
-            has_place=any(self._own_places(server.service).values()),
+            has_place=any(own.values()),
             now=self.clock.monotonic(),
         )
+        log_message(
+            "entry:refused_for_room",
+            server=server.server,
+            service=server.service,
+            n_places=sum(own.values()),
+            n_places_here=own.get(server.server, 0),
+            n_running_here=self.n_running[server.server],
+            n_instances=self.places.n_gateways(),
+            pause_ms=int(pause_s * 1_000),
+        )
 
     def _own_places(self, service: ServiceName) -> dict[BackendServerId, int]:
         servers = self.servers()
--- a/turmericreel/gateway/brittle_servers.py
+++ b/turmericreel/gateway/brittle_servers.py
@@ -158,9 +158,19 @@
                 self.n_refused_by_servers += 1
                 own = self._own_places(service)
                 has_place = any(own.values())
-                self.places.record_refusal(
+                pause_s = self.places.record_refusal(
                     server.server, service, has_place=has_place, now=now
                 )
+                log_message(
+                    "gateway:refused_for_room",
+                    server=server.server,
+                    service=service,
+                    n_places=sum(own.values()),
+                    n_places_here=own.get(server.server, 0),
+                    n_running_here=self._n_running(server.server),
+                    n_gateways=self.places.n_gateways(),
+                    pause_ms=int(pause_s * 1_000),
+                )
             else:
                 self.places.record_answer(server.server)
                 mean_s = self.held_s.get(service, FIRST_HELD_S)
