--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -92,6 +92,7 @@
         self.servers: dict[str, RoutedServer] = {}
         self.incarnations: dict[str, int] = {}
         self.sequence = 0
+        self.n_slots = 4
 
     def start_coordinator(
         self,
@@ -203,7 +204,7 @@
                 address=self.servers[name].address,
                 data_centre="a",
                 version=version,
-                n_slots=4,
+                n_slots=self.n_slots,
                 state=state,
                 incarnation=self.incarnations.get(name, 0),
                 sequence=self.sequence,
--- a/test/routing/test_brittle_servers.py
+++ b/test/routing/test_brittle_servers.py
@@ -7,7 +7,7 @@
 from gevent import joinall, sleep, spawn
 
 from test.routing.library import make_route, make_server
-from test.routing.small_system import small_system
+from test.routing.small_system import small_system, stream_route
 from test.routing.test_server_rates import Traffic
 from turmericreel.decisions.server_places import VALID_S, ServerPlaces
 from turmericreel.fakes.routed_server import BRITTLE_CAUSE
@@ -20,6 +20,7 @@
 MAX_REFUSALS = 2.0
 CONTACT_S = 3.0
 COUNTED_S = 6.0
+LONG_COUNTED_S = 12.0
 MAX_FALLS = 2 + N_SERVERS / 10
 N_QUEUED = 24
 
@@ -49,8 +50,71 @@
     assert n_served >= 2 / 3 * min(load, 1.0) * CAPACITY * COUNTED_S
 
 
+@pytest.mark.parametrize(
+    ("n_gateways", "load", "path"),
+    [(24, 0.7, "/safe/"), (24, 3.0, "/stream/"), (40, 1.5, "/safe/")],
+)
+def test_brittle_servers_stay_up_when_gateways_outnumber_places(
+    tmp_path, n_gateways, load, path
+):
+    n_places, work_s = 6, 0.2
+    capacity = 3 * n_places / work_s
+    with small_system(tmp_path, n_coordinators=3, n_gateways=n_gateways) as system:
+        system.n_slots = n_places
+        system.submit(
+            make_route("/safe/", max_attempts=3), stream_route(max_attempts=3)
+        )
+        servers = [system.add_server(f"s{n}") for n in range(3)]
+        for server in servers:
+            server.n_places, server.n_queued = n_places, N_QUEUED
+            server.work_s, server.max_refusals = work_s, MAX_REFUSALS
+            server.restart_delay_s = 3.0
+        sent = Traffic(system, path, per_second=load * capacity)
+        sleep(CONTACT_S)
+        for server in servers:
+            server.n_queued = 1
+        since = monotonic()
+        sleep(LONG_COUNTED_S)
+        n_served = sent.statuses(since).count(200)
+        ends = [end for server in servers for end in server.ends]
+        sent.running = False
+        sent.task.join()
+        sleep(1.0)
+    assert len([end for end in ends if end.cause == BRITTLE_CAUSE]) <= 2
+    assert n_served >= 2 / 3 * min(load, 1.0) * capacity * LONG_COUNTED_S
+
+
+@pytest.mark.parametrize("n_gateways", [24, 83, 200])
+def test_gateways_without_a_place_are_hardly_ever_refused(n_gateways):
+    gateways = [f"g{n:03}" for n in range(n_gateways)]
+    slots = {f"s{n}": 6 for n in range(3)}
+    all_places = [make_places(name, gateways) for name in gateways]
+    without = [p for p in all_places if not any(p.places(slots).values())]
+    assert without
+    refused_at: dict[str, list[float]] = {server: [] for server in slots}
+    for places in without:
+        places.record_report("s", MAX_REFUSALS, observed_at=0.0)
+    for step in range(1, 600):
+        now = step * 0.05
+        for places in without:
+            places.record_report("s", MAX_REFUSALS, observed_at=now)
+            own = places.places(slots)
+            ready = [
+                server
+                for server in slots
+                if places.may_send(server, places=own, n_running=lambda s: 0, now=now)
+            ]
+            if ready:
+                server = places.rng.choice(ready)
+                refused_at[server].append(now)
+                places.record_refusal(server, "s", has_place=False, now=now)
+    for times in refused_at.values():
+        windows = [sum(first <= at < first + 1.0 for at in times) for first in times]
+        assert max(windows, default=0) <= MAX_REFUSALS
+
+
 def make_places(name: str, gateways: list[str]) -> ServerPlaces:
-    return ServerPlaces(instance=name, gateways=lambda: gateways, rng=Random(1))
+    return ServerPlaces(instance=name, gateways=lambda: gateways, rng=Random(name))
 
 
 @pytest.mark.parametrize("n_gateways", [1, 3, 8, 20])
