--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -65,6 +65,10 @@
 MIN_WORK_INTERVAL_S = 0.1
 # The interval grows with the number of gateways, which bounds the total traffic.
 WORK_INTERVAL_PER_GATEWAY_S = 0.002
+# Reports that arrive together are answered together.
+PLACES_DELAY_S = 0.002
+# Places that refusals took away come back without a report.
+PLACES_INTERVAL_S = 0.05
 # Requests that are on their way, or were counted by gateways that are lost, are not in
 # the counts that the exposure limit is compared with.
 EXPOSURE_SLACK_FRACTION = 0.8
@@ -179,6 +183,7 @@
             spawn(self._save),
         ]
         self.tasks.append(spawn(self._distribute_work))
+        self.tasks.append(spawn(self._answer_places))
         log_message(
             "coordinator:started",
             instance=self.settings.instance,
@@ -354,6 +359,13 @@
             )
             self.hub.distribute_work()
 
+    def _answer_places(self) -> None:
+        while True:
+            has_waiting = self.hub.places.has_waiting
+            self.hub.places_due.wait(PLACES_INTERVAL_S if has_waiting else None)
+            sleep(PLACES_DELAY_S)
+            self.hub.answer_places()
+
     def _save(self) -> None:
         while True:
             sleep(SAVE_INTERVAL_S)
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -7,23 +7,21 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from random import Random
 
 from eliot import log_message
 from gevent.event import Event
 from msgspec.structs import replace
 
 from turmericreel.coordinator.crash_records import CrashRecords
+from turmericreel.coordinator.place_distributor import PlaceDistributor, newest_reports
 from turmericreel.decisions.rate_grants import RateGrants
 from turmericreel.decisions.server_health import ServerHealth
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.brittle_service import BrittleReport
-from turmericreel.model.ids import (
-    BackendServerId,
-    InstanceId,
-    Revision,
-    ServiceName,
-)
+from turmericreel.model.ids import BackendServerId, InstanceId, Revision
+from turmericreel.model.place_report import PlaceReport
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
 from turmericreel.model.server_crash import CrashReport, ServerProcess, process_of
@@ -35,6 +33,7 @@
     Gateways,
     GatewayStatus,
     GatewayWork,
+    PlaceAnswers,
     Rollouts,
     RoutingDocument,
     RoutingMessage,
@@ -111,6 +110,8 @@
         self.suspended: set[BackendServerId] = set()
         self.crashes = CrashRecords(clock=clock)
         self.rates = RateGrants()
+        self.places = PlaceDistributor(clock=clock, rng=Random(instance))
+        self.places_due = Event()
         self.work_sent = False
         self.routing_pending = False
         self.rollouts_pending = False
@@ -234,11 +235,31 @@
             self.health.record_report(instance, work.outcomes, now=self.now())
             self.rates.record_report(instance, work.rates, now=self.now())
 
+    def receive_places(
+        self, instance: InstanceId, report: PlaceReport, session: Session
+    ) -> None:
+        """Record which places a gateway holds and wants."""
+        entry = self.gateways.get(instance)
+        if entry is not None and entry.session is session:
+            self.places.receive(instance, report, self.registry.servers.values())
+            self.places_due.set()
+
+    def answer_places(self) -> None:
+        """Send gateways the places that they get, and refusals."""
+        self.places_due.clear()
+        servers = self.registry.servers.values()
+        answers = self.places.answers(servers, self.known_gateways())
+        for instance, answer in answers.items():
+            entry = self.gateways.get(instance)
+            if entry is not None:
+                entry.session.send(PlaceAnswers(answer=answer))
+
     def remove_gateway(self, instance: InstanceId, session: Session) -> None:
         """Remove a gateway whose connection ended."""
         entry = self.gateways.get(instance)
         if entry is not None and entry.session is session:
             del self.gateways[instance]
+            self.places.remove_gateway(instance)
             self._record_gateway_change(entry.status.gateway, "lost")
 
     def add_peer(self, instance: InstanceId, session: Session) -> None:
@@ -337,6 +358,9 @@
         Gateways report to the leader, so only its sums are complete.
         """
         beat = self.heartbeat()
+        brittle = self._brittle_services()
+        is_leader = beat.leader == self.instance
+        self.places.update(brittle, term=beat.term if is_leader else None)
         if beat.leader not in (None, self.instance):
             return
         total: dict[BackendServerId, float] = {}
@@ -346,8 +370,8 @@
         suspended = self._update_suspended()
         leaving = tuple({p for e in self.gateways.values() for p in e.leaving})
         # Without a leader, several coordinators would grant the same requests.
-        grants = self._grant_rates() if beat.leader == self.instance else {}
-        brittle = self._brittle_services()
+        grants = self._grant_rates() if is_leader else {}
+        grants_places = self.places.grants is not None
         has_content = bool(total or suspended or leaving or grants or brittle)
         if not has_content and not self.work_sent:
             return
@@ -357,6 +381,8 @@
             suspended=suspended,
             leaving=leaving,
             brittle=brittle,
+            term=beat.term if grants_places else 0,
+            grants_places=grants_places,
         )
         for instance, entry in list(self.gateways.items()):
             rates = grants.get(instance, ())
@@ -375,13 +401,8 @@
 
     def _brittle_services(self) -> tuple[BrittleReport, ...]:
         """Return the newest report on each brittle service."""
-        newest: dict[ServiceName, BrittleReport] = {}
-        for entry in self.gateways.values():
-            for report in entry.brittle:
-                known = newest.get(report.service)
-                if known is None or report.age_ms < known.age_ms:
-                    newest[report.service] = report
-        return tuple(newest.values())
+        entries = self.gateways.values()
+        return newest_reports(r for entry in entries for r in entry.brittle)
 
     def _update_suspended(self) -> tuple[BackendServerId, ...]:
         usable = (s for s in self.registry.servers.values() if s.is_usable)
--- a/turmericreel/coordinator/sessions.py
+++ b/turmericreel/coordinator/sessions.py
@@ -17,6 +17,7 @@
     Beat,
     CoordinatorHello,
     GatewayHello,
+    GatewayPlaces,
     Gateways,
     GatewayStatus,
     GatewayWork,
@@ -139,6 +140,9 @@
                     case GatewayWork():
                         instance = hello.gateway.instance
                         self.hub.receive_work(instance, message, session)
+                    case GatewayPlaces():
+                        instance = hello.gateway.instance
+                        self.hub.receive_places(instance, message.report, session)
                     case ServerCrashes():
                         self.hub.receive_crashes(message.crashes)
         finally:
--- a/turmericreel/decisions/server_places.py
+++ b/turmericreel/decisions/server_places.py
@@ -3,19 +3,22 @@
 Intended workload: overloaded servers that fall over when they must refuse more than a
 few requests a second for want of room, before many gateways.  A load report is older
 than the requests that other gateways have sent since, so a gateway that goes by reports
-sends too much.  Instead each gateway has places of its own, and what has no place waits
-there.
+sends too much.  Instead each request has a place, and what has none waits.
 
-The division needs no messages: all gateways compute it from the same lists.  While
-these differ, two gateways may use the same place; what the servers then refuse slows
-them down.
+Where a leader grants places, see `place_grants`.  Without one each gateway has places
+of its own.  That division needs no messages: all gateways compute it from the same
+lists.  While these differ, two gateways may use the same place; what the servers then
+refuse slows them down.  Where gateways outnumber places, most have none, and only send
+often enough to notice that the others are gone.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from itertools import cycle
 from math import ceil, inf
 from random import Random
 
+from turmericreel.decisions.gateway_turns import GatewayTurns
 from turmericreel.decisions.rate_limits import parse_rate
 from turmericreel.model.brittle_service import BrittleReport
 from turmericreel.model.ids import BackendServerId, InstanceId, ServiceName
@@ -25,9 +28,12 @@
 VALID_S = 3.0
 # Pause after a server refused a request for which there was a place.
 REFUSAL_PAUSE_S = 0.5
-MAX_PAUSE_S = 5.0
+MAX_DOUBLINGS = 20
 # Less than one refusal a second would keep a gateway without a place out for too long.
 MIN_REFUSALS = 0.5
+# Part of the refusals that servers bear which all gateways without a place together may
+# cause; turns at random times must not come together.
+TURN_FRACTION = 0.05
 
 
 def parse_max_refusals(text: str) -> float | None:
@@ -62,6 +68,24 @@
     n_refusals: int = 0
 
 
+def place_owners(
+    slots: Mapping[BackendServerId, int], *, gateways: Iterable[InstanceId]
+) -> Iterator[tuple[BackendServerId, InstanceId]]:
+    """Yield the places of a service's servers, each with the gateway that owns it.
+
+    Parameters
+    ----------
+    slots : mapping of BackendServerId to int
+        Requests that each server of the service can run concurrently.
+    gateways : iterable of InstanceId
+        All gateways, among which the places are divided.
+    """
+    owners = cycle(sorted(gateways))
+    for server, n_slots in sorted(slots.items()):
+        for _ in range(n_slots):
+            yield server, next(owners)
+
+
 class ServerPlaces:
     """Places of one gateway at the servers of brittle services.
 
@@ -77,6 +101,8 @@
     ----------
     services : dict of ServiceName to BrittleService
     pauses : dict of BackendServerId to RefusalPause
+    turns : GatewayTurns
+        By service, when this gateway has no place.
     """
 
     def __init__(
@@ -91,6 +117,7 @@
         self.rng = rng
         self.services: dict[ServiceName, BrittleService] = {}
         self.pauses: dict[BackendServerId, RefusalPause] = {}
+        self.turns = GatewayTurns(rng=rng)
 
     def n_gateways(self) -> int:
         """Return the number of gateways that share the places."""
@@ -137,14 +164,16 @@
         )
 
     def places(
-        self, slots: Mapping[BackendServerId, int]
+        self, slots: Mapping[BackendServerId, int], *, n_open: float = inf
     ) -> dict[BackendServerId, int]:
         """Return the number of this gateway's places at each server of a service.
 
         Parameters
         ----------
         slots : mapping of BackendServerId to int
-            Requests that each server of the service can run concurrently.
+            As in `place_owners`.
+        n_open : float
+            Places of each server that may be used at all.
         """
         gateways = sorted({*self.gateways(), self.instance})
         position = gateways.index(self.instance)
@@ -152,26 +181,27 @@
         n_before = 0
         for server, n_slots in sorted(slots.items()):
             first = (position - n_before) % len(gateways)
-            places[server] = len(range(first, n_slots, len(gateways)))
+            last = int(min(n_slots, n_open))
+            places[server] = len(range(first, last, len(gateways)))
             n_before += n_slots
         return places
 
     def may_send(
         self,
         server: BackendServerId,
+        service: ServiceName,
         *,
         places: dict[BackendServerId, int],
         n_running: Callable[[BackendServerId], int],
         now: float,
     ) -> bool:
-        """Return whether a request may be sent to a server of a brittle service now.
-
-        A gateway without any place sends one request at a time, as long as it is not
-        refused.
+        """Return whether a request may be sent to a server with a place of its own.
 
         Parameters
         ----------
         server : BackendServerId
+        service : ServiceName
+            A brittle one.
         places : dict of BackendServerId to int
             From `places`.
         n_running : callable
@@ -179,18 +209,41 @@
         now : float
             Seconds on the monotonic clock.
         """
-        if server in self.pauses and now < self.pauses[server].deadline:
+        if self.is_paused(server, now=now):
             return False
         if any(places.values()):
             return n_running(server) < places.get(server, 0)
-        return not any(n_running(other) for other in places)
+        if any(n_running(other) for other in places):
+            return False
+        period_s = self._turn_period_s(service, len(places))
+        return self.turns.has_turn(service, period_s=period_s, now=now)
+
+    def record_sent(
+        self,
+        service: ServiceName,
+        *,
+        places: dict[BackendServerId, int],
+        now: float,
+    ) -> None:
+        """Record a request that was sent without a grant."""
+        if not any(places.values()):
+            period_s = self._turn_period_s(service, len(places))
+            self.turns.take(service, period_s=period_s, now=now)
+
+    def is_paused(self, server: BackendServerId, *, now: float) -> bool:
+        """Return whether a server gets nothing because it refused requests."""
+        return server in self.pauses and now < self.pauses[server].deadline
+
+    def _turn_period_s(self, service: ServiceName, n_servers: int) -> float:
+        known = self.services.get(service)
+        n_refusals = max(known.max_refusals if known else 0.0, MIN_REFUSALS)
+        return self.n_gateways() / (n_refusals * TURN_FRACTION * max(n_servers, 1))
 
     def record_refusal(
         self,
         server: BackendServerId,
         service: ServiceName,
         *,
-        has_place: bool,
         now: float,
     ) -> float:
         """Record that a server refused a request for want of room.
@@ -205,12 +258,10 @@
             return 0.0
         pause = self.pauses.setdefault(server, RefusalPause())
         # All gateways together may be refused this often.
-        longest_s = min(
-            self.n_gateways() / max(known.max_refusals, MIN_REFUSALS), MAX_PAUSE_S
+        longest_s = self.n_gateways() / max(known.max_refusals, MIN_REFUSALS)
+        pause_s = min(
+            REFUSAL_PAUSE_S * 2 ** min(pause.n_refusals, MAX_DOUBLINGS), longest_s
         )
-        pause_s = longest_s
-        if has_place:
-            pause_s = min(REFUSAL_PAUSE_S * 2**pause.n_refusals, longest_s)
         pause.n_refusals += 1
         pause_s *= self.rng.uniform(0.5, 1.5)
         pause.deadline = now + pause_s
--- a/turmericreel/entry/brittle_servers.py
+++ b/turmericreel/entry/brittle_servers.py
@@ -76,6 +76,7 @@
             return True
         return self.places.may_send(
             server.server,
+            server.service,
             places=self._own_places(server.service),
             n_running=self.n_running.__getitem__,
             now=now,
@@ -83,6 +84,10 @@
 
     def begin(self, server: BackendServer) -> None:
         """Count an attempt that begins."""
+        now = self.clock.monotonic()
+        if self.places.is_brittle(server.service, now=now):
+            own = self._own_places(server.service)
+            self.places.record_sent(server.service, places=own, now=now)
         self.n_running[server.server] += 1
 
     def end(self, server: BackendServer, *, was_refused: bool) -> None:
@@ -96,10 +101,7 @@
         self.places.drop_unregistered(set(self.servers()))
         own = self._own_places(server.service)
         pause_s = self.places.record_refusal(
-            server.server,
-            server.service,
-            has_place=any(own.values()),
-            now=self.clock.monotonic(),
+            server.server, server.service, now=self.clock.monotonic()
         )
         log_message(
             "entry:refused_for_room",
@@ -107,7 +109,7 @@
             service=server.service,
             n_places=sum(own.values()),
             n_places_here=own.get(server.server, 0),
-            n_running_here=self.n_running[server.server],
+            n_held_here=self.n_running[server.server],
             n_instances=self.places.n_gateways(),
             pause_ms=int(pause_s * 1_000),
         )
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -102,9 +102,14 @@
         FailureError
             With `NotRun` or `OutcomeUnknown`.
         """
-        self.guard.begin_attempt(request.content, request.part_digests)
+        try:
+            self.guard.begin_attempt(request.content, request.part_digests)
+        except FailureError:
+            self.chooser.brittle.give_back(server)
+            raise
         now = self.clock.monotonic()
         self.chooser.rates.take(server)
+        self.chooser.brittle.begin(server)
         exchange = ServerExchange(
             request=request,
             server=server,
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -105,6 +105,10 @@
     NOT_RUN = "not_run"
 
 
+# A server may not have noticed yet that its answer is not read to the end.
+UNFINISHED = {AttemptEnd.BROKEN, AttemptEnd.DROPPED, AttemptEnd.CANCELLED}
+
+
 class NoRetryReason(Enum):
     """Why a request is not retried."""
 
@@ -177,6 +181,7 @@
             self.server,
             held_s=self.exchange.clock.monotonic() - self.counter.began,
             was_refused=self.was_refused,
+            may_still_run=how in UNFINISHED,
         )
         self._tell_guard(how)
         self.exchange.end()
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -104,6 +104,7 @@
             codec=codec,
             on_usage_recorded=self.usage.confirm_recorded,
             on_work=lambda work: self.chooser.receive_work(work),
+            on_places=lambda answer: self.chooser.brittle.asks.receive(answer),
             on_crashes=self.guard.receive,
             on_server_ended=self.guard.record_ended_server,
         )
@@ -218,9 +219,11 @@
             work=self._work_report,
             limits=self._limit_report,
             crashes=self.guard.reports,
+            places=self.chooser.brittle.report,
             on_change=self._on_view_change,
             rng=rng,
         )
+        self.chooser.brittle.asks.on_change = self.links.report_places
 
     def start(self) -> None:
         """Listen for clients and connect to coordinators."""
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from eliot import log_message
-from gevent import Greenlet, sleep, spawn
+from gevent import Greenlet, killall, sleep, spawn
 from gevent.event import Event
 from gevent.socket import create_connection
 
@@ -16,14 +16,17 @@
 from turmericreel.gateway.view import GatewayView
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import InstanceId
+from turmericreel.model.place_report import PlaceReport
 from turmericreel.model.server_crash import CrashReport
 from turmericreel.protocols.addresses import parse_address
 from turmericreel.protocols.frames import FrameStream
 from turmericreel.protocols.routing_messages import (
     GatewayHello,
+    GatewayPlaces,
     GatewayStatus,
     GatewayWork,
     ServerCrashes,
+    ServerWork,
     ToGateway,
 )
 from turmericreel.protocols.sockets import set_unacknowledged_timeout
@@ -43,6 +46,8 @@
 # number of messages that a coordinator receives.
 WORK_INTERVAL_PER_GATEWAY_S = 0.002
 CHOOSE_INTERVAL_S = 0.5
+# Reports on places are sent as soon as something changes, but not more often.
+MIN_PLACES_INTERVAL_S = 0.003
 
 
 class CoordinatorLink:
@@ -59,6 +64,8 @@
         Returns the gateway's current report of pending work and attempt outcomes.
     crashes : callable
         Returns all records of servers that ended under requests.
+    places : callable
+        Returns the report on places of brittle servers.
     on_change : callable
         Called when the view has changed.
     """
@@ -71,6 +78,7 @@
         status: Callable[[], GatewayStatus],
         work: Callable[[], GatewayWork],
         crashes: Callable[[], tuple[CrashReport, ...]],
+        places: Callable[[], PlaceReport],
         on_change: Callable[[], None],
     ):
         self.address = parse_address(address)
@@ -78,6 +86,9 @@
         self.status = status
         self.work = work
         self.crashes = crashes
+        self.places = places
+        self.places_due = Event()
+        self.grants_places = False
         self.unsent_crashes: list[CrashReport] = []
         self.on_change = on_change
         self.connected = False
@@ -132,24 +143,35 @@
         stream = FrameStream(
             sock=sock, message_type=ToGateway, idle_timeout_s=IDLE_TIMEOUT_S
         )
-        reporter = None
+        reporters: list[Greenlet] = []
         try:
             stream.send(GatewayHello(gateway=self.status().gateway))
             # The coordinators may have restarted and lost what they knew.
             self.unsent_crashes = list(self.crashes())
             self.is_open = True
-            reporter = spawn(self._report, stream)
+            self.grants_places = False
+            reporters = [
+                spawn(self._report, stream),
+                spawn(self._report_places, stream),
+            ]
             while (message := stream.receive()) is not None:
                 if not self.connected:
                     self._log_connected()
+                self._record_leader(message)
                 if self.view.receive(message, source=str(self.address)):
                     self.on_change()
         finally:
             self.is_open = False
-            if reporter is not None:
-                reporter.kill()
+            killall(reporters)
             stream.close()
 
+    def _record_leader(self, message: object) -> None:
+        """Report places once the coordinator says on this connection that it grants."""
+        grants = isinstance(message, ServerWork) and message.grants_places
+        if grants and not self.grants_places:
+            self.grants_places = True
+            self.places_due.set()
+
     def _log_connected(self) -> None:
         self.connected = True
         self.n_failures = 0
@@ -165,6 +187,18 @@
             # The receiving loop fails as well and logs the reason.
             stream.close()
 
+    def _report_places(self, stream: FrameStream) -> None:
+        try:
+            while True:
+                self.places_due.wait()
+                self.places_due.clear()
+                if not self.grants_places:
+                    continue
+                stream.send(GatewayPlaces(report=self.places()))
+                sleep(MIN_PLACES_INTERVAL_S)
+        except FailureError:
+            stream.close()
+
     def _report_work(self, stream: FrameStream) -> None:
         """Send work and crash reports until the next status is due."""
         was_sent = False
@@ -201,7 +235,7 @@
     address_of : callable
         Returns the address at which a coordinator listens for instances.
     view : GatewayView
-    status, work, crashes, on_change : callable
+    status, work, crashes, places, on_change : callable
         As for `CoordinatorLink`.
     limits : callable
         Returns the report to coordinators that do not lead.
@@ -218,6 +252,7 @@
         work: Callable[[], GatewayWork],
         limits: Callable[[], GatewayWork],
         crashes: Callable[[], tuple[CrashReport, ...]],
+        places: Callable[[], PlaceReport],
         on_change: Callable[[], None],
         rng: Random,
     ):
@@ -228,6 +263,7 @@
         self.work = work
         self.limits = limits
         self.crashes = crashes
+        self.places = places
         self.on_change = on_change
         self.rng = rng
         self.links: dict[InstanceId, CoordinatorLink] = {}
@@ -260,6 +296,12 @@
         for link in self.links.values():
             link.send_crashes(crashes)
 
+    def report_places(self) -> None:
+        """Send the leader a report on places now."""
+        link = self.links.get(self.view.leader) if self.view.leader else None
+        if link is not None:
+            link.places_due.set()
+
     def choose(self) -> None:
         """Choose the coordinators to link to; open and close links accordingly."""
         change = choose_links(
@@ -281,6 +323,7 @@
             status=self.status,
             work=lambda: self._work_for(instance),
             crashes=self.crashes,
+            places=self.places,
             on_change=self.on_change,
         )
 
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -131,8 +131,27 @@
         untried = [s for s in allowed if s.server not in tried]
         if not untried:
             raise self._no_server_failure(request, service, now)
-        ready = self.brittle.ready_servers(request, service, untried)
-        ready = self.rates.ready_servers(request, service, ready)
+        ready = self.rates.ready_servers(request, service, untried)
+        chosen = self.brittle.choose(
+            request,
+            service,
+            ready,
+            best_of=lambda servers: self._best_of(request, service, servers),
+        )
+        try:
+            # A grant may have been used while this request waited for a place.
+            self.rates.check(request, service, chosen)
+        except FailureError:
+            self.brittle.give_back(chosen)
+            raise
+        return chosen
+
+    def _best_of(
+        self,
+        request: ClientRequest,
+        service: ServiceName,
+        ready: list[RegisteredServer],
+    ) -> RegisteredServer:
         now = self.clock.monotonic()
         healthy = [s for s in ready if not self.loads.is_paused(s.server, now=now)]
         servers = self._best_reached(healthy or ready, now)
@@ -172,6 +191,8 @@
             self.rates.receive(work.rates, term=work.term)
         if work.brittle:
             self.brittle.receive(work.brittle)
+        if work.grants_places:
+            self.brittle.asks.record_leader(term=work.term)
         if work.is_partial:
             return
         self.work.receive_total(work.work_ms)
--- a/turmericreel/gateway/server_rates.py
+++ b/turmericreel/gateway/server_rates.py
@@ -112,6 +112,13 @@
             raise self._refusal(request, service, servers)
         return ready
 
+    def check(
+        self, request: ClientRequest, service: ServiceName, server: RegisteredServer
+    ) -> None:
+        """Raise `FailureError` with `NotRun` if a server may get no request now."""
+        if not self.rates.is_empty and not self._ready([server]):
+            raise self._refusal(request, service, [server])
+
     def take(self, server: RegisteredServer) -> None:
         """Count a request that is sent to a server."""
         self.rates.take(process_of(server), now=self.clock.monotonic())
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -20,6 +20,7 @@
     InstanceId,
     ServiceName,
 )
+from turmericreel.model.place_report import PlaceAnswer
 from turmericreel.model.registered_server import RegisteredServer, ServerState
 from turmericreel.model.routing import Rollout, RolloutStage
 from turmericreel.model.routing_codec import RoutingCodec
@@ -27,6 +28,7 @@
 from turmericreel.protocols.routing_messages import (
     Beat,
     Gateways,
+    PlaceAnswers,
     Rollouts,
     RoutingDocument,
     ServerCrashes,
@@ -54,6 +56,8 @@
         Called with the incarnation and number of each usage batch that is recorded.
     on_work : callable
         Called with each `ServerWork` message.
+    on_places : callable
+        Called with each answer of a leader on places.
     on_crashes : callable
         Called with the records of each `ServerCrashes` message.
     on_server_ended : callable
@@ -67,12 +71,14 @@
         codec: RoutingCodec,
         on_usage_recorded: Callable[[Incarnation, int], None],
         on_work: Callable[[ServerWork], None],
+        on_places: Callable[[PlaceAnswer], None],
         on_crashes: Callable[[tuple[CrashReport, ...]], None],
         on_server_ended: Callable[[RegisteredServer], None],
     ):
         self.codec = codec
         self.on_usage_recorded = on_usage_recorded
         self.on_work = on_work
+        self.on_places = on_places
         self.on_crashes = on_crashes
         self.on_server_ended = on_server_ended
         self.table: RouteTable | None = None
@@ -146,6 +152,8 @@
                 self.on_usage_recorded(message.incarnation, message.number)
             case ServerWork():
                 self.on_work(message)
+            case PlaceAnswers():
+                self.on_places(message.answer)
             case ServerCrashes():
                 self.on_crashes(message.crashes)
             case Beat():
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -6,6 +6,7 @@
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.model.brittle_service import BrittleReport
 from turmericreel.model.ids import BackendServerId, Incarnation, InstanceId, Revision
+from turmericreel.model.place_report import PlaceAnswer, PlaceReport
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
 from turmericreel.model.server_crash import CrashReport, ServerProcess
@@ -71,6 +72,21 @@
     brittle: tuple[BrittleReport, ...] = ()
 
 
+class GatewayPlaces(RoutingMessage):
+    """Places that a gateway holds and wants, sent only to a leader that grants them.
+
+    Other builds do not know this message.
+    """
+
+    report: PlaceReport
+
+
+class PlaceAnswers(RoutingMessage):
+    """The leader's answer to `GatewayPlaces`."""
+
+    answer: PlaceAnswer
+
+
 class ServerWork(RoutingMessage):
     """Work of servers for all gateways, and the suspended servers.
 
@@ -85,11 +101,13 @@
     rates : tuple of RateGrant
         Limits of server processes, and the requests that the receiver may send.
     term : int
-        Term of the leader that granted them.
+        Term of the leader that grants them, and places.
     brittle : tuple of BrittleReport
         Services whose servers are brittle.
     is_partial : bool
         Whether the message tells `rates` and `brittle` only.
+    grants_places : bool
+        Whether the sender leads and answers `GatewayPlaces`.
     """
 
     work_ms: dict[BackendServerId, float]
@@ -99,6 +117,7 @@
     term: int = 0
     brittle: tuple[BrittleReport, ...] = ()
     is_partial: bool = False
+    grants_places: bool = False
 
 
 class UsageRecorded(RoutingMessage):
@@ -175,6 +194,7 @@
     GatewayHello
     | GatewayStatus
     | GatewayWork
+    | GatewayPlaces
     | CoordinatorHello
     | Servers
     | Gateways
@@ -189,5 +209,6 @@
     | Rollouts
     | UsageRecorded
     | ServerWork
+    | PlaceAnswers
     | ServerCrashes
 )
