--- a/test/raft/test_raft_log.py
+++ b/test/raft/test_raft_log.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
+from time import monotonic
 
 import pytest
 import trustme
@@ -39,6 +40,8 @@
 from turmericreel.util.clock import SystemClock
 
 TIMEOUT_S = 5.0
+# A change is acknowledged within this time.
+ACK_S = 4.0
 NAMES = tuple(InstanceId(name) for name in ("a", "b", "c"))
 
 
@@ -195,7 +198,7 @@
     log = single_member_log(disk, failures)
     log.start()
     wait_until(log.is_leader, what="a leader")
-    disk.capacity_bytes = 0
+    disk.fail_sync_at = disk.n_syncs
     with pytest.raises(FailureError) as caught:
         submit(log, 1)
     assert isinstance(caught.value.failure, CommitUnknown)
@@ -207,6 +210,73 @@
     log.stop()
 
 
+def used_bytes(disk: FaultyDisk) -> int:
+    return sum(len(file.current) for file in disk.files.values())
+
+
+def test_a_member_whose_disk_is_full_goes_on_once_there_is_room():
+    failures: list[Failure] = []
+    disk = FaultyDisk()
+    log = single_member_log(disk, failures)
+    log.start()
+    wait_until(log.is_leader, what="a leader")
+    # A part of the next frame fits.
+    disk.capacity_bytes = used_bytes(disk) + 20
+    submitted = spawn(submit, log, 1)
+    wait_until(lambda: log.member.storage.n_waiting_for_room, what="a full disk")
+    sleep(0.5)
+    disk.capacity_bytes = None
+    assert submitted.get().revision == 1
+    assert submit(log, 2).revision == 2
+    log.stop()
+    restarted = single_member_log(disk, failures)
+    restarted.start()
+    wait_until(restarted.is_leader, what="a leader")
+    assert submit(restarted, 3).revision == 3
+    restarted.stop()
+    assert not failures
+
+
+def test_a_member_starts_and_stops_while_its_disk_is_full():
+    failures: list[Failure] = []
+    disk = FaultyDisk(capacity_bytes=20)
+    log = single_member_log(disk, failures)
+    started = spawn(log.start)
+    wait_until(lambda: log.member.storage.n_waiting_for_room, what="a full disk")
+    disk.capacity_bytes = None
+    started.get()
+    wait_until(log.is_leader, what="a leader")
+    disk.capacity_bytes = 0
+    spawn(submit, log, 1)
+    wait_until(lambda: log.member.storage.n_waiting_for_room, what="a full disk")
+    log.stop()
+
+
+def test_changes_commit_while_and_after_disks_are_full_in_turn(group):
+    revision = 0
+    errors: list[Failure] = []
+    for disk in group.disks.values():
+        leader = group.leader()
+        disk.capacity_bytes = used_bytes(disk) + 20
+        for _ in range(3):
+            revision = submit_until_committed(group, revision + 1, errors)
+        sleep(0.5)
+        disk.capacity_bytes = None
+        assert leader.failure is None
+    began = monotonic()
+    for _ in range(5):
+        revision = submit_until_committed(group, revision + 1, errors)
+    assert monotonic() - began < ACK_S
+    wait_until(
+        lambda: all(
+            log.machine.applied_index == group.leader().machine.applied_index
+            for log in group.logs.values()
+        ),
+        what="all members",
+    )
+    assert not group.failures
+
+
 def test_single_member_recovers_its_state(tmp_path):
     for n in range(1, 4):
         log = single_member_log(FolderDisk(folder=tmp_path / "data"), [])
--- a/turmericreel/coordination/raft/member.py
+++ b/turmericreel/coordination/raft/member.py
@@ -161,7 +161,7 @@
         FailureError
             With `StorageFailed`.
         """
-        self.recovered = self.storage.recover()
+        self.recovered = self.runner.run(self.storage.recover)
         identity = self.recovered.identity or self._new_identity()
         if self.recovered.snapshot_data is not None:
             self.applier.load(self.recovered.snapshot_data)
@@ -175,7 +175,7 @@
         if self.formation.initial is None:
             return
         if not had_initial_membership:
-            self.storage.save_identity(self.formation.identity)
+            self.runner.run(self.storage.save_identity, self.formation.identity)
         self._start_core()
 
     @property
@@ -333,10 +333,10 @@
         is_founder = self.founders is not None and self.instance in self.founders
         if is_founder and self.storage.disk.is_persistent:
             identity = founder_identity(self.instance, self.founders)
-            self.storage.save_identity(identity)
+            self.runner.run(self.storage.save_identity, identity)
             return identity
         identity = self._new_incarnation()
-        self.storage.save_identity(identity)
+        self.runner.run(self.storage.save_identity, identity)
         return identity
 
     def _rejoin(self) -> None:
--- a/turmericreel/coordination/raft/raft_log.py
+++ b/turmericreel/coordination/raft/raft_log.py
@@ -11,7 +11,7 @@
 
 import msgspec
 from eliot import log_message
-from gevent import spawn
+from gevent import sleep, spawn
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
 from gevent.timeout import Timeout
@@ -50,6 +50,7 @@
 MAX_WAITING_PROPOSALS = 20_000
 TRANSFER_TIMEOUT_S = 2.0
 MAX_INBOX_BATCH = 4_000
+DISK_CHECK_S = 0.25
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -136,6 +137,7 @@
         self.transfer_deadline = 0.0
         self.logged_role = None
         self.task = None
+        self.disk_task = None
 
     def start(self) -> None:
         """Recover the state from the data folder and start the task.
@@ -148,6 +150,7 @@
         self.member.open()
         self.transport.start(self.inbox.put)
         self.task = spawn(self._run)
+        self.disk_task = spawn(self._watch_disk)
 
     def stop(self) -> None:
         """Transfer leadership if this member leads, stop, and close the storage."""
@@ -157,6 +160,9 @@
             with Timeout(TRANSFER_TIMEOUT_S, False):
                 request.done.get()
             self.task.kill()
+        if self.disk_task is not None:
+            self.disk_task.kill()
+        self.member.storage.stop_waiting()
         self.runner.wait()
         self.transport.stop()
         self.member.storage.close()
@@ -245,6 +251,16 @@
             self._fail(InternalFault(detail=repr(error)))
             raise
 
+    def _watch_disk(self) -> None:
+        """Log when writes begin to wait because the disk is full, and when they end."""
+        was_full = False
+        while True:
+            sleep(DISK_CHECK_S)
+            is_full = self.member.storage.n_waiting_for_room > 0
+            if is_full != was_full:
+                was_full = is_full
+                log_message("raft:disk_full" if is_full else "raft:disk_has_room")
+
     def _fail(self, failure: Failure) -> None:
         self.failure = failure
         log_message("raft:failed", failure=failure.describe())
--- a/turmericreel/fakes/faulty_disk.py
+++ b/turmericreel/fakes/faulty_disk.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from random import Random
 
-from turmericreel.state.storage.disk import Disk
+from turmericreel.state.storage.disk import Disk, DiskFullError
 from turmericreel.state.storage.framing import SECTOR_BYTES
 
 
@@ -92,7 +92,7 @@
         room = self._free_bytes()
         self.files[name].current += data if room is None else data[:room]
         if room is not None and room < len(data):
-            raise OSError(errno.ENOSPC, "no space left on device")
+            raise DiskFullError(errno.ENOSPC, "no space left on device")
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to `size` bytes."""
--- a/turmericreel/state/storage/disk.py
+++ b/turmericreel/state/storage/disk.py
@@ -6,13 +6,22 @@
 
 import os
 from abc import ABC, abstractmethod
-from errno import ENOENT
+from collections.abc import Iterator
+from contextlib import contextmanager
+from errno import EDQUOT, ENOENT, ENOSPC
 from pathlib import Path
 
 
+class DiskFullError(OSError):
+    """A write that was refused for want of room; a part of it may have been done."""
+
+
 class Disk(ABC):
     """A folder of files.  Every method raises `OSError` when an operation fails.
 
+    Methods that change files, but not those that sync, raise `DiskFullError` for want
+    of room: what a failed sync leaves on the disk is unknown.
+
     Attributes
     ----------
     path : str
@@ -142,15 +151,17 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it is absent."""
-        descriptor = self._descriptor(name)
-        view = memoryview(data)
-        while view:
-            written = os.write(descriptor, view)
-            view = view[written:]
+        with _reporting_full_disk():
+            descriptor = self._descriptor(name)
+            view = memoryview(data)
+            while view:
+                written = os.write(descriptor, view)
+                view = view[written:]
 
     def truncate(self, name: str, size: int) -> None:
         """Set the size of a file in bytes."""
-        os.ftruncate(self._descriptor(name), size)
+        with _reporting_full_disk():
+            os.ftruncate(self._descriptor(name), size)
 
     def sync(self, name: str) -> None:
         """Make a file's content durable."""
@@ -160,12 +171,14 @@
         """Rename a file; an existing file named `new` is replaced."""
         self._close_descriptor(old)
         self._close_descriptor(new)
-        os.rename(self.folder / old, self.folder / new)
+        with _reporting_full_disk():
+            os.rename(self.folder / old, self.folder / new)
 
     def remove(self, name: str) -> None:
         """Remove a file."""
         self._close_descriptor(name)
-        os.unlink(self.folder / name)
+        with _reporting_full_disk():
+            os.unlink(self.folder / name)
 
     def sync_folder(self) -> None:
         """Make creations, renames and removals durable."""
@@ -188,6 +201,16 @@
             os.close(descriptor)
 
 
+@contextmanager
+def _reporting_full_disk() -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:
+        if error.errno in (ENOSPC, EDQUOT):
+            raise DiskFullError(error.errno, error.strerror) from error
+        raise
+
+
 def _make_folder(folder: Path) -> None:
     missing = []
     while not folder.exists():
--- a/turmericreel/state/storage/log_storage.py
+++ b/turmericreel/state/storage/log_storage.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from threading import Event
 from typing import TypeVar
 
 from turmericreel.model.failures import Failure, FailureError
-from turmericreel.state.storage.disk import Disk
+from turmericreel.state.storage.disk import Disk, DiskFullError
 from turmericreel.state.storage.entries import (
     Entry,
     HardState,
@@ -22,6 +23,8 @@
 
 IDENTITY_NAME = "identity"
 TERM_NAME = "term"
+# Time after which a write is tried again while the disk is full.
+FULL_RETRY_S = 0.1
 
 T = TypeVar("T")
 
@@ -41,13 +44,19 @@
     """Durable state of one member.
 
     After a failure, every later call raises the same failure: the content of the disk
-    is unknown from then on, until a restart reads it again.
+    is unknown from then on, until a restart reads it again.  A full disk is no failure:
+    calls that write wait until there is room, or until `stop_waiting`.
 
     Parameters
     ----------
     disk : Disk
     segment_limit_bytes : int
         Size from which a new segment of the log is started.
+
+    Attributes
+    ----------
+    n_waiting_for_room : int
+        Calls that wait because the disk is full.
     """
 
     def __init__(self, *, disk: Disk, segment_limit_bytes: int = SEGMENT_LIMIT_BYTES):
@@ -56,6 +65,8 @@
         self.segments = SegmentedLog(disk=disk, limit_bytes=segment_limit_bytes)
         self.snapshots = SnapshotStore(disk=disk)
         self.failure: Failure | None = None
+        self.n_waiting_for_room = 0
+        self.stopping = Event()
 
     def recover(self) -> RecoveredState:
         """Read the stored state, and complete or discard interrupted writes.
@@ -98,6 +109,10 @@
         """Return the chunk at `offset` of the newest snapshot's data."""
         return self._guard(lambda: self.snapshots.chunk(offset))
 
+    def stop_waiting(self) -> None:
+        """Let calls fail that wait for room, and later ones that have none."""
+        self.stopping.set()
+
     def close(self) -> None:
         """Close all files."""
         self.disk.close()
@@ -171,7 +186,7 @@
         if self.failure is not None:
             raise FailureError(self.failure)
         try:
-            return action()
+            return self._run_with_room(action)
         except OSError as error:
             failed = storage_failed(self.disk.path, str(error))
             self.failure = failed.failure
@@ -179,3 +194,17 @@
         except FailureError as error:
             self.failure = error.failure
             raise
+
+    def _run_with_room(self, action: Callable[[], T]) -> T:
+        """Repeat an action, which may have been done in part, until there is room."""
+        while True:
+            try:
+                return action()
+            except DiskFullError:
+                if self.stopping.is_set():
+                    raise
+            self.n_waiting_for_room += 1
+            try:
+                self.stopping.wait(FULL_RETRY_S)
+            finally:
+                self.n_waiting_for_room -= 1
--- a/turmericreel/state/storage/segments.py
+++ b/turmericreel/state/storage/segments.py
@@ -50,6 +50,8 @@
         self.disk = disk
         self.limit_bytes = limit_bytes
         self.segments: list[Segment] = []
+        self.first_number = 1
+        self.is_torn = False
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(list[Entry])
 
@@ -85,9 +87,14 @@
         if not self.segments or self.segments[-1].size_bytes >= self.limit_bytes:
             self._begin_segment()
         segment = self.segments[-1]
+        if self.is_torn:
+            # A full disk took a part of a frame.
+            self.disk.truncate(segment.name, segment.size_bytes)
         frame = pack_frame(self.encoder.encode(entries))
+        self.is_torn = True
         self.disk.append(segment.name, frame)
         self.disk.sync(segment.name)
+        self.is_torn = False
         segment.size_bytes += len(frame)
         if segment.first_index is None:
             segment.first_index = entries[0].index
@@ -110,12 +117,14 @@
 
     def discard(self) -> None:
         """Remove all entries, as a snapshot replaces them."""
-        next_number = self._next_number()
-        for segment in self.segments:
-            self.disk.remove(segment.name)
+        # The numbers go on, also if a full disk interrupts this.
+        self.first_number = self._next_number()
+        while self.segments:
+            self.disk.remove(self.segments[0].name)
+            del self.segments[0]
         self.disk.sync_folder()
-        self.segments = []
-        self._begin_segment(number=next_number)
+        self.is_torn = False
+        self._begin_segment()
 
     @property
     def size_bytes(self) -> int:
@@ -123,10 +132,13 @@
         return sum(segment.size_bytes for segment in self.segments)
 
     def _next_number(self) -> int:
-        return self.segments[-1].number + 1 if self.segments else 1
+        return self.segments[-1].number + 1 if self.segments else self.first_number
 
-    def _begin_segment(self, number: int | None = None) -> None:
-        segment = Segment(number=number or self._next_number())
+    def _begin_segment(self) -> None:
+        segment = Segment(number=self._next_number())
+        if segment.name in self.disk.names():
+            # Created before, when the disk became full.
+            self.disk.remove(segment.name)
         header = pack_header(SEGMENT_KIND, number=segment.number)
         self.disk.append(segment.name, header)
         self.disk.sync(segment.name)
