--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -171,7 +171,7 @@
         except Exception as error:
             # The parser's own errors have no narrower common base class.
             raise self._unreachable(f"malformed HTTP: {error}") from error
-        if not data and not self.parser.message_complete:
+        if not data and not self.parser.is_final:
             self.was_closed = True
             detail = "timed out without data" if self.timed_out else "connection closed"
             raise self._unreachable(detail)
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -35,6 +35,8 @@
 # arrive.
 KEEP_ALIVE_MARGIN_S = 0.5
 MIN_TIME_LEFT_MS = 1
+# Lower ones are those of interim answers.
+MIN_FINAL_STATUS = 200
 
 
 class ForwardedAnswer(ServerAnswer):
@@ -88,7 +90,8 @@
             return 0
 
     def _may_end_with_connection(self) -> bool:
-        if not self.parser.headers_complete or self.timed_out or self.was_reset:
+        has_head = self.parser.headers_complete and self.status >= MIN_FINAL_STATUS
+        if not has_head or self.timed_out or self.was_reset:
             return False
         chunked = "chunked" in self.header("Transfer-Encoding").lower()
         return not (chunked or self.header("Content-Length"))
