--- a/test/accounts/test_drain.py
+++ b/test/accounts/test_drain.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from gevent import joinall, sleep, spawn
+from gevent import joinall, killall, sleep, spawn
 
 from test.library import (
     TEXT,
@@ -228,6 +228,32 @@
     fleet.entries.remove(entry)
 
 
+def test_no_late_request_is_cut_at_the_deadline_of_a_stop(fleet: Fleet):
+    for fake in fleet.fakes:
+        fake.behaviour.between_tokens_ms = 50.0
+    entry = fleet.entries.pop()
+    address = str(entry.http_address)
+    statuses = []
+
+    def call_until_stopped(number: int) -> None:
+        while True:
+            body = chat_body(f"{number} {len(statuses)}", stream=True)
+            try:
+                answer = http_call(address, "POST", "/v1/chat/completions", body=body)
+            except Exception:
+                return
+            statuses.append(answer.status)
+
+    calls = [spawn(call_until_stopped, n) for n in range(N_CALLERS)]
+    wait_until(lambda: len(statuses) >= 4 * N_CALLERS, what="answers")
+    drain = Drain(
+        instance=entry, deadline_ms=2_500, clock=SystemClock(), validity_ms=30_000
+    )
+    assert drain.run().n_cut == 0
+    assert set(statuses) <= {200, 503}
+    killall(calls)
+
+
 def test_stop_waits_for_a_stream_that_outlasts_the_address_lists(fleet: Fleet):
     for fake in fleet.fakes:
         fake.behaviour.n_tokens = 60
--- a/turmericreel/daemon/drain.py
+++ b/turmericreel/daemon/drain.py
@@ -18,6 +18,8 @@
 
 POLL_S = 0.05
 IDLE_PERIOD_S = 0.25
+# Answers that end at the deadline take this time to reach their callers.
+ANSWER_S = 0.2
 CHART_PACKAGE = "turmericreel.daemon"
 
 
@@ -96,6 +98,7 @@
         # A new control stream must not put the instance back on the address list.
         control.hello = msgspec.structs.replace(control.hello, leaving=True)
         control.renew_now()
+        self.instance.request_path.admission.deadline = self.deadline - ANSWER_S
         # Close persistent connections, as their callers would not fetch the list again.
         self.instance.http_server.application.closing = True
 
--- a/turmericreel/entry/request_path.py
+++ b/turmericreel/entry/request_path.py
@@ -11,6 +11,7 @@
     standings_of,
     without_suspended,
 )
+from turmericreel.decisions.stop_admission import StopAdmission
 from turmericreel.decisions.version_policy import Plan, allowed_versions
 from turmericreel.entry.admission import AdmissionGate
 from turmericreel.entry.attempts import AttemptRunner
@@ -31,6 +32,9 @@
 from turmericreel.protocols.evidence_messages import EvidenceDigest
 from turmericreel.util.clock import Clock
 
+# Other instances take the request at once.
+STOPPING_RETRY_AFTER_MS = 1
+
 
 class RequestPath:
     """Runs requests at an entry instance.
@@ -44,6 +48,11 @@
     levels : ServiceLevels
     clock : Clock
     timeouts : RequestTimeouts
+
+    Attributes
+    ----------
+    admission : StopAdmission
+        Requests that are taken while the instance is stopping.
     """
 
     def __init__(
@@ -84,6 +93,7 @@
             attempts=self.attempts, rater=self.observer, clock=clock
         )
         self.gate = AdmissionGate(control=control, policies=policies, clock=clock)
+        self.admission = StopAdmission()
         self.n_running = 0
 
     def run(self, request: Request) -> Iterator[Piece]:
@@ -122,6 +132,8 @@
     def _run_admitted(self, request: Request) -> Iterator[Piece]:
         self.attempts.check_lease()
         self._check_openable(request)
+        self._check_stop(request)
+        began = self.clock.monotonic()
         with self.gate.admitted(request) as admitted:
             run = RequestRun(
                 request=admitted,
@@ -134,6 +146,22 @@
                 clock=self.clock,
             )
             yield from run.run()
+        kind = (request.service, request.kind)
+        self.admission.record(kind, self.clock.monotonic() - began)
+
+    def _check_stop(self, request: Request) -> None:
+        """Raise `NotRun` if the instance would stop within the request."""
+        kind = (request.service, request.kind)
+        now = self.clock.monotonic()
+        if not self.admission.may_take(kind, deadline=request.deadline, now=now):
+            raise FailureError(
+                NotRun(
+                    reason=NotRunReason.STOPPING,
+                    retry_after_ms=STOPPING_RETRY_AFTER_MS,
+                    addresses=other_addresses(self.control),
+                    detail="the instance stops before the request would end",
+                )
+            )
 
     def allowed(self, request: Request) -> dict[VersionId, VersionText]:
         """Return the versions that a request may run on, without suspended ones."""
--- a/turmericreel/gateway/application.py
+++ b/turmericreel/gateway/application.py
@@ -2,12 +2,14 @@
 
 import errno
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from email.message import Message
 
 import msgspec
 from eliot import log_message, write_traceback
 
 from turmericreel.decisions.route_table import RouteTable
+from turmericreel.decisions.stop_admission import StopAdmission
 from turmericreel.entry.application import RAW_PATH, SOCKET_KEY, STATUS_LINES
 from turmericreel.entry.caller_watch import CallerWatch
 from turmericreel.entry.http_server import BodyTimeoutError
@@ -58,6 +60,8 @@
 # Fraction of the client's time limit that may pass before a configuration arrives.
 TABLE_WAIT_FRACTION = 0.25
 STARTING_RETRY_AFTER_MS = 1_000
+# Other instances take the request at once.
+STOPPING_RETRY_AFTER_MS = 1
 ARRIVED_KEY = "turmericreel.arrived"
 REQUEST_KEY = "turmericreel.request"
 # Metric label of requests that were refused before a route was found.
@@ -86,6 +90,8 @@
         Whether the gateway is stopping; responses then close their connections.
     refusing : bool
         Whether new requests are refused.
+    admission : StopAdmission
+        Requests that are taken while the gateway is stopping.
     n_running : int
         Requests and streams in progress.
     """
@@ -106,6 +112,7 @@
         self.clock = clock
         self.stopping = False
         self.refusing = False
+        self.admission = StopAdmission()
         self.n_running = 0
 
     def __call__(self, environ: dict, start_response: StartResponse):
@@ -173,7 +180,18 @@
                 "missing or unknown client key",
                 retry=False,
             )
-        return self._build_request(environ, arrived, route, account)
+        request = self._build_request(environ, arrived, route, account)
+        if not self.admission.may_take(
+            route.name, deadline=request.deadline, now=self.clock.monotonic()
+        ):
+            raise _refusal(
+                NotRunReason.STOPPING,
+                "the instance stops before the request would end",
+                retry_after_ms=STOPPING_RETRY_AFTER_MS,
+            )
+        # At the stop deadline it still gets an answer.
+        deadline = min(request.deadline, self.admission.deadline)
+        return replace(request, deadline=deadline)
 
     def _wait_for_table(self, headers: Message) -> RouteTable:
         """Wait briefly for the first configuration, which arrives soon after start."""
@@ -312,6 +330,8 @@
         kind = request.route.kind.value
         self.metrics.record_end(kind, outcome, seconds=took)
         good = outcome is RequestOutcome.ANSWERED
+        if good:
+            self.admission.record(request.route.name, took)
         log_message(
             "gateway:ended" if good else "gateway:ended_badly",
             request=request.attempt_id,
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -57,6 +57,8 @@
 # A slow client may use an address list for this multiple of its validity.
 ADDRESS_LIST_VALIDITY_FACTOR = 1.5
 STOP_MARGIN_S = 0.4
+# Answers that end at the deadline take this time to reach their clients.
+STOP_ANSWER_S = 0.2
 POLL_S = 0.05
 ACTIVE_STAGES = (RolloutStage.PREPARING, RolloutStage.CANARY, RolloutStage.SWITCHED)
 
@@ -339,6 +341,7 @@
         deadline -= STOP_MARGIN_S
         log_message("gateway:stopping", n_running=self.application.n_running)
         self.application.stopping = True
+        self.application.admission.deadline = deadline - STOP_ANSWER_S
         self.links.report_now()
         self.relays.stop_accepting()
         listed_for_s = (
