--- a/test/routing/test_rate_decisions.py
+++ b/test/routing/test_rate_decisions.py
@@ -1,5 +1,7 @@
 """Rates are granted to gateways within their limits; no network is needed."""
 
+from random import Random
+
 import pytest
 
 from turmericreel.decisions.gateway_rates import (
@@ -62,7 +64,7 @@
 @pytest.mark.parametrize("rate", [0.0, 0.5, 2.3, 40.0])
 @pytest.mark.parametrize("n_gateways", [1, 12, 69])
 def test_granted_requests_stay_within_the_limit_in_any_window(rate, n_gateways):
-    gateways = {f"g{n}": GatewayRates() for n in range(n_gateways)}
+    gateways = {f"g{n}": GatewayRates(rng=Random(1)) for n in range(n_gateways)}
     leader = RateGrants()
     now, sent = 0.0, []
     gateways["g0"].record_answer(PROCESS, rate, now=now)
@@ -82,7 +84,7 @@
 
 
 def test_new_leader_and_an_older_one_do_not_grant_to_the_same_gateway():
-    rates = GatewayRates()
+    rates = GatewayRates(rng=Random(1))
     rates.record_answer(PROCESS, 2.3, now=0.0)
     grants = RateGrants()
     grants.record_report("g", rates.report(now=0.0), now=0.0)
@@ -97,7 +99,7 @@
 
 
 def test_grants_that_were_delivered_to_a_suspended_gateway_expire():
-    rates, grants = GatewayRates(), RateGrants()
+    rates, grants = GatewayRates(rng=Random(1)), RateGrants()
     rates.record_answer(PROCESS, 40.0, now=0.0)
     for step in range(20):
         now = step * STEP_S
@@ -109,18 +111,22 @@
 
 
 def test_equal_share_grows_only_while_the_leader_is_lost():
-    rates, grants = GatewayRates(n_gateways=lambda: 2), RateGrants()
+    rates, grants = GatewayRates(rng=Random(1), n_gateways=lambda: 2), RateGrants()
     rates.record_answer(PROCESS, 2.0, now=0.0)
-    exchange({"g": rates, "other": GatewayRates()}, grants, now=0.0)
+    exchange({"g": rates, "other": GatewayRates(rng=Random(1))}, grants, now=0.0)
     assert not rates.may_send(PROCESS, now=LEADER_TIMEOUT_S)
     assert not rates.may_send(PROCESS, now=LEADER_TIMEOUT_S + 1.0)
     assert rates.may_send(PROCESS, now=LEADER_TIMEOUT_S + 1.5)
-    exchange({"g": rates, "other": GatewayRates()}, grants, now=LEADER_TIMEOUT_S + 1.5)
+    exchange(
+        {"g": rates, "other": GatewayRates(rng=Random(1))},
+        grants,
+        now=LEADER_TIMEOUT_S + 1.5,
+    )
     assert not rates.may_send(PROCESS, now=LEADER_TIMEOUT_S + 1.6)
 
 
 def test_answer_that_was_sent_before_the_limit_does_not_end_it():
-    rates = GatewayRates()
+    rates = GatewayRates(rng=Random(1))
     rates.record_answer(PROCESS, 2.0, now=0.0)
     assert not rates.record_answer(PROCESS, None, now=REORDERING_S / 2)
     assert rates.n_limited() == 1
@@ -129,7 +135,7 @@
 
 
 def test_grants_go_to_the_gateways_with_traffic():
-    busy, idle = GatewayRates(), GatewayRates()
+    busy, idle = GatewayRates(rng=Random(1)), GatewayRates(rng=Random(1))
     gateways = {"busy": busy, "idle": idle}
     leader = RateGrants()
     busy.record_answer(PROCESS, 2.0, now=0.0)
@@ -144,7 +150,7 @@
 
 
 def test_gateway_that_was_lost_while_a_request_waited_does_not_hold_the_rate():
-    lost, other = GatewayRates(), GatewayRates()
+    lost, other = GatewayRates(rng=Random(1)), GatewayRates(rng=Random(1))
     leader = RateGrants()
     other.record_answer(PROCESS, 2.0, now=0.0)
     exchange({"lost": lost, "other": other}, leader, now=0.0)
@@ -160,3 +166,26 @@
     delays = [times.next_s("service", rate=2.0, now=0.0) for _ in range(4)]
     assert delays == [0.5, 1.0, 1.5, 2.0]
     assert times.next_s("service", rate=2.0, now=10.0) == 0.5
+
+
+@pytest.mark.parametrize("n_gateways", [10, 83, 200])
+def test_many_gateways_without_a_leader_do_not_save_requests_up(n_gateways):
+    rate = 2.3
+    gateways = [
+        GatewayRates(rng=Random(n), n_gateways=lambda: n_gateways)
+        for n in range(n_gateways)
+    ]
+    for rates in gateways:
+        rates.record_answer(PROCESS, rate, now=0.0)
+        rates.may_send(PROCESS, now=0.0)
+    idle_s = 200.0
+    sent_at = [
+        now
+        for step in range(200)
+        for rates in gateways
+        if send_if_allowed(rates, now=(now := idle_s + step * STEP_S))
+    ]
+    windows = [
+        sum(first <= at < first + WINDOW_S for at in sent_at) for first in sent_at
+    ]
+    assert 1 <= max(windows) <= 1.5 * rate * WINDOW_S + 5
--- a/turmericreel/decisions/gateway_rates.py
+++ b/turmericreel/decisions/gateway_rates.py
@@ -8,9 +8,11 @@
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from random import Random
 
 from msgspec.structs import replace
 
+from turmericreel.decisions.gateway_turns import GatewayTurns
 from turmericreel.decisions.rate_limits import KnownLimits, burst_of
 from turmericreel.model.ids import ServiceName
 from turmericreel.model.server_crash import ServerProcess
@@ -24,6 +26,9 @@
 # Part of the equal share that gateways use without a leader: their number may be
 # outdated, and a leader may still grant requests to others.
 SHARE_FRACTION = 0.8
+# Gateways whose share takes longer than this for one request do not save it up, as all
+# of them could then send at once; each has a turn instead.
+MAX_SAVING_S = 4.0
 MAX_RETRY_AFTER_S = 10.0
 # Other gateways learn for this time that a limit is over.
 END_REPORTED_S = 5.0
@@ -73,6 +78,7 @@
     ----------
     n_gateways : callable
         Returns the number of gateways that share the rates.
+    rng : Random
 
     Attributes
     ----------
@@ -92,8 +98,9 @@
         Highest term of a leader that sent grants.
     """
 
-    def __init__(self, *, n_gateways: Callable[[], int] = lambda: 1):
+    def __init__(self, *, rng: Random, n_gateways: Callable[[], int] = lambda: 1):
         self.n_gateways = n_gateways
+        self.turns = GatewayTurns(rng=rng)
         self.known = KnownLimits()
         self.grants: dict[ServerProcess, deque[float]] = defaultdict(deque)
         self.n_wanted: Counter[ServerProcess] = Counter()
@@ -159,6 +166,9 @@
             self.grants[process].popleft()
         else:
             self._local_share(process, rate, now).n_allowed -= 1.0
+            rate_here = self.share_of(rate) * SHARE_FRACTION
+            if rate_here * MAX_SAVING_S < 1.0:
+                self.turns.take(process, period_s=1.0 / rate_here, now=now)
 
     def give_back(self, process: ServerProcess, *, now: float) -> None:
         """Take back the count of a request that did not reach a process."""
@@ -220,6 +230,7 @@
     def drop_unregistered(self, present: set[ServerProcess]) -> None:
         """Drop processes that are not registered any more."""
         self.known.drop_unregistered(present)
+        self.turns.drop_unregistered(self.known.limits)
         for state in (self.grants, self.shares, self.n_wanted, self.n_returned):
             for process in set(state) - set(self.known.limits):
                 del state[process]
@@ -239,6 +250,12 @@
             share.n_allowed = 0.0
         else:
             rate_here = self.share_of(rate) * SHARE_FRACTION
+            if rate_here * MAX_SAVING_S < 1.0:
+                period_s = 1.0 / rate_here
+                has_turn = self.turns.has_turn(process, period_s=period_s, now=now)
+                share.n_allowed = float(has_turn)
+                share.updated_at = now
+                return share
             without_leader_s = now - max(share.updated_at, self.leader_deadline)
             share.n_allowed = min(
                 share.n_allowed + without_leader_s * rate_here, burst_of(rate_here)
--- a/turmericreel/entry/attempts.py
+++ b/turmericreel/entry/attempts.py
@@ -62,14 +62,17 @@
         self.clock = clock
         self.contents = ContentGuard(control=control, clock=clock)
         # Entry instances have no grants, and share the rates of servers equally.
-        self.rates = GatewayRates(n_gateways=lambda: len(control.view.instances))
+        rng = Random(control.hello.instance)
+        self.rates = GatewayRates(
+            n_gateways=lambda: len(control.view.instances), rng=rng
+        )
         server_client.rates = self.rates
         self.brittle = BrittleServers(
             instance=control.hello.instance,
             instances=lambda: [i.instance for i in control.view.instances],
             servers=lambda: control.view.servers,
             clock=clock,
-            rng=Random(control.hello.instance),
+            rng=rng,
         )
         server_client.on_brittle = self.brittle.record_header
 
--- a/turmericreel/entry/server_client.py
+++ b/turmericreel/entry/server_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from random import Random
 from urllib.parse import quote
 
 import msgspec
@@ -80,7 +81,7 @@
     def __init__(self, *, clock: Clock, idle_timeout_s: float = IDLE_TIMEOUT_S):
         self.clock = clock
         self.idle_timeout_s = idle_timeout_s
-        self.rates = GatewayRates()
+        self.rates = GatewayRates(rng=Random())
         self.on_brittle: Callable[[BackendServer, str], None] = lambda server, text: (
             None
         )
--- a/turmericreel/gateway/server_rates.py
+++ b/turmericreel/gateway/server_rates.py
@@ -57,7 +57,7 @@
     """
 
     def __init__(self, *, n_gateways: Callable[[], int], clock: Clock, rng: Random):
-        self.rates = GatewayRates(n_gateways=n_gateways)
+        self.rates = GatewayRates(n_gateways=n_gateways, rng=rng)
         self.clock = clock
         self.rng = rng
         self.granted = Event()
