--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -124,9 +124,10 @@
     seed : int
     folder : Path
         Folder for settings, logs and data.
+    n_gateways : int
     """
 
-    def __init__(self, *, seed: int, folder: Path):
+    def __init__(self, *, seed: int, folder: Path, n_gateways: int = N_GATEWAYS):
         self.rng = Random(seed)
         self.folder = folder
         names = ("frontend", "readiness", "control", "directory")
@@ -150,7 +151,7 @@
             self._process(
                 "test_long.cuttable_gateway", f"127.0.4.{n + 1}", has_disk=False
             )
-            for n in range(N_GATEWAYS)
+            for n in range(n_gateways)
         ]
         self.ending_servers = [_build_server(f"s{n}") for n in range(N_SERVERS)]
         self.limited_servers = [
@@ -218,7 +219,7 @@
             joinall(tasks)
             check_runs(self.servers, self.findings)
             check_ends(self.servers, self.findings)
-            check_quiet_periods(self.quiet_periods, N_GATEWAYS, self.findings)
+            check_quiet_periods(self.quiet_periods, len(self.gateways), self.findings)
             check_limited_periods(self.limited_periods, self.findings)
             check_brittle_periods(
                 self.brittle_periods, self.gateway_history, self.findings
@@ -512,7 +513,7 @@
         client = self._client()
         deadline = monotonic() + MAX_RECOVERY_S
         n_successive = 0
-        while n_successive < 2 * N_GATEWAYS:
+        while n_successive < 2 * len(self.gateways):
             n_successive = n_successive + 1 if client.request("safe") == "200" else 0
             if monotonic() > deadline:
                 self.findings.faults.append(f"no recovery within {MAX_RECOVERY_S} s")
@@ -548,9 +549,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--duration", type=float, default=30.0, help="seconds")
+    parser.add_argument("--gateways", type=int, default=N_GATEWAYS)
     options = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
-    findings = Soak(seed=options.seed, folder=folder).run(options.duration)
+    soak = Soak(seed=options.seed, folder=folder, n_gateways=options.gateways)
+    findings = soak.run(options.duration)
     print(f"seed {options.seed}, logs in {folder}")
     print(f"accepted up to version {findings.acknowledged_version}")
     for outcome, number in sorted(findings.outcomes.items()):
