--- a/test/routing/test_server_rates.py
+++ b/test/routing/test_server_rates.py
@@ -52,6 +52,8 @@
     ----------
     answers : list of tuple
         Time in seconds, status and retry delay of each answer.
+    sent_at : list of float
+        Time in seconds at which each request was sent.
     """
 
     def __init__(self, system: SmallSystem, path: str, *, per_second: float):
@@ -59,6 +61,7 @@
         self.path = path
         self.interval_s = 1 / per_second
         self.answers: list[tuple[float, int, str]] = []
+        self.sent_at: list[float] = []
         self.running = True
         self.task = spawn(self._run)
 
@@ -66,6 +69,7 @@
         number = 0
         while self.running:
             spawn(self._send, number)
+            self.sent_at.append(monotonic())
             number += 1
             sleep(self.interval_s)
 
--- a/turmericreel/gateway/brittle_servers.py
+++ b/turmericreel/gateway/brittle_servers.py
@@ -20,7 +20,7 @@
     parse_max_refusals,
 )
 from turmericreel.gateway.client_request import ClientRequest
-from turmericreel.gateway.place_asks import LEADER_TIMEOUT_S, OpenAsk, PlaceAsks
+from turmericreel.gateway.place_asks import OpenAsk, PlaceAsks
 from turmericreel.gateway.refusals import no_server_refusal
 from turmericreel.gateway.server_loads import ServerLoads
 from turmericreel.model.brittle_service import BrittleReport
@@ -361,9 +361,7 @@
 
         The requests that it granted to others end by and by.
         """
-        if not self.asks.leader_deadline:
-            return inf
-        silent_s = now - self.asks.leader_deadline + LEADER_TIMEOUT_S
+        silent_s = now - self.asks.heard_at
         n_slots = max((s.n_slots for s in self.servers_of(service)), default=1)
         held_s = self.held_s.get(service, FIRST_HELD_S)
         if silent_s >= held_s * log(2 * max(n_slots, 1)):
@@ -420,3 +418,5 @@
             max_refusals=max_refusals,
             n_places=sum(own.values()),
         )
+        # The leader does not know yet what runs there.
+        self._wake(service)
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -222,6 +222,7 @@
             limits=self._limit_report,
             crashes=self.guard.reports,
             places=self.chooser.brittle.report,
+            on_leader_lost=self.chooser.brittle.asks.record_leader_lost,
             on_change=self._on_view_change,
             rng=rng,
         )
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -66,6 +66,8 @@
         Returns all records of servers that ended under requests.
     places : callable
         Returns the report on places of brittle servers.
+    on_leader_lost : callable
+        Called when the connection to a coordinator ended that granted places.
     on_change : callable
         Called when the view has changed.
     """
@@ -79,6 +81,7 @@
         work: Callable[[], GatewayWork],
         crashes: Callable[[], tuple[CrashReport, ...]],
         places: Callable[[], PlaceReport],
+        on_leader_lost: Callable[[], None],
         on_change: Callable[[], None],
     ):
         self.address = parse_address(address)
@@ -87,6 +90,7 @@
         self.work = work
         self.crashes = crashes
         self.places = places
+        self.on_leader_lost = on_leader_lost
         self.places_due = Event()
         self.grants_places = False
         self.unsent_crashes: list[CrashReport] = []
@@ -133,6 +137,9 @@
                     reason=reason,
                 )
             self.connected = False
+            if self.grants_places:
+                self.grants_places = False
+                self.on_leader_lost()
             sleep(min(RECONNECT_PAUSE_S * self.n_failures, MAX_RECONNECT_PAUSE_S))
 
     def _serve(self) -> None:
@@ -235,7 +242,7 @@
     address_of : callable
         Returns the address at which a coordinator listens for instances.
     view : GatewayView
-    status, work, crashes, places, on_change : callable
+    status, work, crashes, places, on_leader_lost, on_change : callable
         As for `CoordinatorLink`.
     limits : callable
         Returns the report to coordinators that do not lead.
@@ -253,6 +260,7 @@
         limits: Callable[[], GatewayWork],
         crashes: Callable[[], tuple[CrashReport, ...]],
         places: Callable[[], PlaceReport],
+        on_leader_lost: Callable[[], None],
         on_change: Callable[[], None],
         rng: Random,
     ):
@@ -264,6 +272,7 @@
         self.limits = limits
         self.crashes = crashes
         self.places = places
+        self.on_leader_lost = on_leader_lost
         self.on_change = on_change
         self.rng = rng
         self.links: dict[InstanceId, CoordinatorLink] = {}
@@ -324,6 +333,7 @@
             work=lambda: self._work_for(instance),
             crashes=self.crashes,
             places=self.places,
+            on_leader_lost=self.on_leader_lost,
             on_change=self.on_change,
         )
 
--- a/turmericreel/gateway/place_asks.py
+++ b/turmericreel/gateway/place_asks.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from itertools import count
+from math import inf
 
 from gevent.event import Event
 
@@ -60,6 +61,10 @@
         Granted places of requests that are not sent yet.
     leader_deadline : float
         Until when the leader counts as present, in seconds on the monotonic clock.
+    heard_at : float
+        When the leader last told that it grants places.
+    is_known : bool
+        Whether the leader has been told what this gateway holds.
     term, number : int
         Of the last answer.
     on_change : callable
@@ -71,6 +76,8 @@
         self.asks: dict[int, OpenAsk] = {}
         self.reserved: Counter[BackendServerId] = Counter()
         self.leader_deadline = 0.0
+        self.heard_at = -inf
+        self.is_known = False
         self.term = 0
         self.number = 0
         self.refused: list[BackendServerId] = []
@@ -87,14 +94,21 @@
         now = self.clock.monotonic()
         if term < self.term and now < self.leader_deadline:
             return
-        is_new = now >= self.leader_deadline or term != self.term
+        if now >= self.leader_deadline or term != self.term:
+            self.is_known = False
         if term != self.term:
             self.term, self.number = term, 0
+        self.heard_at = now
         self.leader_deadline = now + LEADER_TIMEOUT_S
-        if is_new:
-            # It grants nothing as long as it does not know what this gateway holds.
+        if not self.is_known:
+            # It leaves places unused as long as it does not know what is held here.
+            self.is_known = True
             self.on_change()
 
+    def record_leader_lost(self) -> None:
+        """Record that the connection to the leader ended."""
+        self.leader_deadline = min(self.leader_deadline, self.clock.monotonic())
+
     def open(
         self,
         request: ClientRequest,
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -195,6 +195,7 @@
             self.brittle.asks.record_leader(term=work.term)
         if work.is_partial:
             return
+        self.brittle.asks.is_known &= work.grants_places
         self.work.receive_total(work.work_ms)
         self.record_leaving(work.leaving)
         self.loads.suspend(work.suspended, now=self.clock.monotonic())
