--- a/turmericreel/gateway/brittle_servers.py
+++ b/turmericreel/gateway/brittle_servers.py
@@ -274,7 +274,7 @@
 
     def _record_refusal(self, server: RegisteredServer, now: float) -> None:
         self.n_refused_by_servers += 1
-        self.asks.refused.append(server.server)
+        self.asks.record_refusal(server.server)
         own = self._own_places(server.service)
         pause_s = self.places.record_refusal(server.server, server.service, now=now)
         log_message(
--- a/turmericreel/gateway/place_asks.py
+++ b/turmericreel/gateway/place_asks.py
@@ -169,6 +169,11 @@
         if is_unused:
             self.on_change()
 
+    def record_refusal(self, server: BackendServerId) -> None:
+        """Record that a server had no room, for the next report to the leader."""
+        if self.has_leader:
+            self.refused.append(server)
+
     def report(
         self,
         held: Mapping[BackendServerId, int],
