--- a/test/routing/test_late_requests_at_a_stop.py
+++ b/test/routing/test_late_requests_at_a_stop.py
@@ -8,7 +8,7 @@
 
 from test.routing.library import make_route
 from test.routing.small_system import NAMES, SmallSystem, small_system, stream_route
-from turmericreel.decisions.stop_admission import MIN_SAMPLES, StopAdmission
+from turmericreel.decisions.stop_admission import MAX_KINDS, MIN_SAMPLES, StopAdmission
 from turmericreel.model.routing import RouteKind
 
 WORK_S = 0.4
@@ -127,3 +127,10 @@
     assert admission.may_take("r", deadline=10.0, now=6.4)
     assert not admission.may_take("r", deadline=10.0, now=6.6)
     assert not admission.may_take("other", deadline=10.0, now=0.0)
+
+
+def test_routes_that_come_and_go_cost_bounded_memory():
+    admission = StopAdmission()
+    for number in range(MAX_KINDS + 10):
+        admission.record(f"route-{number}", 0.1)
+    assert len(admission.durations) == MAX_KINDS
--- a/turmericreel/coordinator/place_distributor.py
+++ b/turmericreel/coordinator/place_distributor.py
@@ -12,6 +12,9 @@
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.util.clock import Clock
 
+# Gateways connect to a new leader within this time; until then it does not know all.
+LEARNING_S = 1.0
+
 
 def newest_reports(reports: Iterable[BrittleReport]) -> tuple[BrittleReport, ...]:
     """Return the newest report on each brittle service."""
@@ -23,10 +26,6 @@
     return tuple(newest.values())
 
 
-# Gateways connect to a new leader within this time; until then it does not know all.
-LEARNING_S = 1.0
-
-
 class PlaceDistributor:
     """Places of brittle servers, while this coordinator leads.
 
--- a/turmericreel/decisions/stop_admission.py
+++ b/turmericreel/decisions/stop_admission.py
@@ -12,6 +12,8 @@
 N_SAMPLES = 64
 # With fewer answers, only the request's own deadline bounds how long it takes.
 MIN_SAMPLES = 8
+# Routes come and go with configurations.
+MAX_KINDS = 4_096
 # A request may take this much longer than the longest that is remembered.
 DURATION_MARGIN = 1.5
 
@@ -36,6 +38,9 @@
     def record(self, kind: Hashable, took_s: float) -> None:
         """Record how long a request took to be answered."""
         self.durations[kind].append(took_s)
+        if len(self.durations) > MAX_KINDS:
+            # The one that was first seen longest ago.
+            del self.durations[next(iter(self.durations))]
 
     def may_take(self, kind: Hashable, *, deadline: float, now: float) -> bool:
         """Return whether a request certainly or very likely ends before the stop.
