--- a/test/raft/test_raft_log.py
+++ b/test/raft/test_raft_log.py
@@ -167,7 +167,10 @@
     for n in range(1, 60):
         submit_until_committed(group, n, [])
     name = next(n for n, log in group.logs.items() if not log.is_leader())
-    group.logs[name].stop()
+    follower = group.logs[name]
+    wait_until(lambda: follower.machine.configuration.revision == 59, what="a copy")
+    follower.stop()
+    assert follower.member.storage.snapshots.meta.index > 0
     group.start(name)
     machine = group.logs[name].machine
     wait_until(lambda: machine.configuration.revision == 59, what="recovery")
