--- a/test/storage/test_log_storage.py
+++ b/test/storage/test_log_storage.py
@@ -219,6 +219,7 @@
     for extra in range(0, 400, 23):
         disk = filled_disk()
         storage = open_storage(disk)
+        storage.waits_for_room = True
         storage.recover()
         disk.capacity_bytes = sum(len(f.current) for f in disk.files.values()) + extra
         steps = [
@@ -243,10 +244,9 @@
         assert storage.failure is None
 
 
-def test_full_disk_fails_when_stopping_and_keeps_acknowledged_state():
+def test_full_disk_fails_and_keeps_acknowledged_state():
     disk = filled_disk()
     storage = open_storage(disk)
-    storage.stop_waiting()
     before = visible(storage.recover())
     disk.capacity_bytes = sum(len(f.current) for f in disk.files.values()) + 100
     assert raises_storage_failed(lambda: storage.save(None, entries(41, 60, term=2)))
--- a/turmericreel/coordination/raft/raft_log.py
+++ b/turmericreel/coordination/raft/raft_log.py
@@ -112,6 +112,7 @@
         self.on_failure = on_failure
         self.inbox: Queue = Queue()
         self.runner = ThreadRunner()
+        storage.waits_for_room = True
         self.member = Member(
             instance=instance,
             peers=transport.peers,
--- a/turmericreel/state/storage/log_storage.py
+++ b/turmericreel/state/storage/log_storage.py
@@ -44,8 +44,9 @@
     """Durable state of one member.
 
     After a failure, every later call raises the same failure: the content of the disk
-    is unknown from then on, until a restart reads it again.  A full disk is no failure:
-    calls that write wait until there is room, or until `stop_waiting`.
+    is unknown from then on, until a restart reads it again.  With `waits_for_room`, a
+    full disk is no failure: calls that write wait until there is room, or until
+    `stop_waiting`.
 
     Parameters
     ----------
@@ -55,6 +56,8 @@
 
     Attributes
     ----------
+    waits_for_room : bool
+        For callers in a thread that may be blocked for long.
     n_waiting_for_room : int
         Calls that wait because the disk is full.
     """
@@ -65,6 +68,7 @@
         self.segments = SegmentedLog(disk=disk, limit_bytes=segment_limit_bytes)
         self.snapshots = SnapshotStore(disk=disk)
         self.failure: Failure | None = None
+        self.waits_for_room = False
         self.n_waiting_for_room = 0
         self.stopping = Event()
 
@@ -201,7 +205,7 @@
             try:
                 return action()
             except DiskFullError:
-                if self.stopping.is_set():
+                if not self.waits_for_room or self.stopping.is_set():
                     raise
             self.n_waiting_for_room += 1
             try:
