Compact the log by its size, and bound queues to members by bytes

Related paths were bounded by count too: 32 messages in flight to a member, 256 in the queue to a peer, 1,024 in the queue to a gateway; the inbox of a member that waits for its disk, and the log of a leader whose disk has no room, were not bounded at all.

Evidence: the size of the log was not visible; raft:compacted and two metrics show it now.

So memory and disk follow the size of the state.

--- a/test/raft/small_group.py
+++ b/test/raft/small_group.py
@@ -135,8 +135,18 @@
 class SmallGroup:
     """Members that all have each other in their settings."""
 
-    def __init__(self, *, names=("a", "b", "c"), seed: int = 0, **member_options):
+    def __init__(
+        self,
+        *,
+        names=("a", "b", "c"),
+        seed: int = 0,
+        new_machine=StateMachine,
+        command_type=Command,
+        **member_options,
+    ):
         self.rng = Random(seed)
+        self.new_machine = new_machine
+        self.command_type = command_type
         self.time = SharedTime()
         self.link = Link(rng=self.rng, time=self.time)
         self.member_options = member_options
@@ -174,8 +184,8 @@
             instance=InstanceId(name),
             peers={InstanceId(n) for n in self.nodes if n != name},
             storage=LogStorage(disk=node.disk, segment_limit_bytes=2_000),
-            machine=StateMachine(),
-            command_type=Command,
+            machine=self.new_machine(),
+            command_type=self.command_type,
             runner=node.runner,
             send=lambda to, message: self.link.send(name, to, message),
             notify=lambda record, result: self._applied(name, record, result),
--- a/turmericreel/coordination/raft/applier.py
+++ b/turmericreel/coordination/raft/applier.py
@@ -56,7 +56,7 @@
             index=entry.index, term=entry.term, time_ms=entry.time_ms, command=command
         )
         result = self.machine.apply(record)
-        self.bytes_since_snapshot += len(entry.data)
+        self.bytes_since_snapshot += entry.size_bytes
         self.notify(record, result)
         self._answer(entry, result)
 
--- a/turmericreel/coordination/raft/member.py
+++ b/turmericreel/coordination/raft/member.py
@@ -42,6 +42,10 @@
 TICK_INTERVAL_S = 1.0
 SNAPSHOT_AFTER_BYTES = 8 * 1024 * 1024
 N_KEPT_ENTRIES = 2_000
+MIN_KEPT_BYTES = 1024 * 1024
+# Multiple of the size at which a snapshot is due.  A leader whose disk has no room for
+# the snapshot accepts commands up to this size.
+MAX_UNCOVERED_FACTOR = 4
 INCARNATION_BITS = 62
 
 Send = Callable[[InstanceId, RaftMessage | Introduction], None]
@@ -100,7 +104,11 @@
     snapshot_after_bytes : int
         Minimum size of the log since the last snapshot at which the next is written.
     n_kept_entries : int
-        Entries before a snapshot that are kept for members that lag slightly.
+        Maximum number of entries before a snapshot that are kept for members that lag
+        slightly.
+    min_kept_bytes : int
+        Maximum size of these entries, unless the snapshot is larger: a member that
+        lacks more than the size of the snapshot receives that instead.
     founders : frozenset of InstanceId or None
         Instances, possibly including this one, that form a new group if their folders
         are empty; the set is empty when a group certainly exists.  With None, the
@@ -124,6 +132,7 @@
         rng: Random,
         snapshot_after_bytes: int = SNAPSHOT_AFTER_BYTES,
         n_kept_entries: int = N_KEPT_ENTRIES,
+        min_kept_bytes: int = MIN_KEPT_BYTES,
         founders: frozenset[InstanceId] | None = None,
         before_rejoin: Callable[[], None] | None = None,
     ):
@@ -138,6 +147,7 @@
         self.rng = rng
         self.snapshot_after_bytes = snapshot_after_bytes
         self.n_kept_entries = n_kept_entries
+        self.min_kept_bytes = min_kept_bytes
         self.founders = founders
         self.before_rejoin = before_rejoin
         self.machine = machine
@@ -191,6 +201,17 @@
             return False
         return self.core.holds_lease(self.clock.monotonic())
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the log may grow further before the next snapshot is written."""
+        if self.core is None:
+            return False
+        state = self.core.state
+        uncovered_bytes = state.tail.size_after(
+            state.snapshot.index, state.tail.last_index
+        )
+        return uncovered_bytes < MAX_UNCOVERED_FACTOR * self._snapshot_threshold()
+
     def next_deadline(self) -> float:
         """Return when `tick` must be called next, in monotonic seconds."""
         deadline = self.tick_deadline
@@ -297,9 +318,23 @@
         meta = message.outcome
         if meta.index < self.core.state.snapshot.index:
             return
-        index = meta.index - self.n_kept_entries
+        tail = self.core.state.tail
+        index = max(
+            meta.index - self.n_kept_entries,
+            tail.index_before(
+                meta.index, limit_bytes=max(self.min_kept_bytes, meta.size_bytes)
+            ),
+        )
         self.core.compact_log(meta, index=index)
         self.runner.run(self.storage.compact, index)
+        log_message(
+            "raft:compacted",
+            snapshot_index=meta.index,
+            snapshot_bytes=meta.size_bytes,
+            held_entries=len(tail.entries),
+            held_bytes=tail.size_bytes,
+            stored_bytes=self.storage.segments.size_bytes,
+        )
 
     def on_entries_written(self, message: EntriesWritten) -> None:
         """Record that the leader's own entries are durable.
@@ -451,13 +486,13 @@
         else:
             reconfiguration.observe_requests.add(message.member)
 
+    def _snapshot_threshold(self) -> int:
+        return max(self.snapshot_after_bytes, self.core.state.snapshot.size_bytes)
+
     def _snapshot_if_due(self) -> None:
-        threshold_bytes = max(
-            self.snapshot_after_bytes, self.core.state.snapshot.size_bytes
-        )
         if (
             self.snapshot_job is not None
-            or self.applier.bytes_since_snapshot < threshold_bytes
+            or self.applier.bytes_since_snapshot < self._snapshot_threshold()
         ):
             return
         self.applier.bytes_since_snapshot = 0
--- a/turmericreel/coordination/raft/metrics.py
+++ b/turmericreel/coordination/raft/metrics.py
@@ -47,6 +47,14 @@
                 "Number of log entries in memory.",
                 len(state.tail.entries),
             ),
+            "held_bytes": (
+                "Size of the log entries in memory in bytes.",
+                state.tail.size_bytes,
+            ),
+            "stored_bytes": (
+                "Size of the stored log, without the snapshot, in bytes.",
+                self.log.member.storage.segments.size_bytes,
+            ),
             "waiting_proposals": (
                 "Number of proposals waiting for commit.",
                 len(self.log.member.applier.waiters),
--- a/turmericreel/coordination/raft/raft_log.py
+++ b/turmericreel/coordination/raft/raft_log.py
@@ -13,7 +13,7 @@
 from eliot import log_message
 from gevent import sleep, spawn
 from gevent.event import AsyncResult
-from gevent.queue import Empty, Queue
+from gevent.queue import Empty
 from gevent.timeout import Timeout
 
 from turmericreel.coordination.raft.file_runner import ThreadRunner
@@ -39,15 +39,23 @@
     StorageFailed,
 )
 from turmericreel.model.ids import FencingToken, InstanceId
-from turmericreel.protocols.raft_messages import Introduction, RaftMessage
+from turmericreel.protocols.raft_messages import (
+    Introduction,
+    PeerMessage,
+    RaftMessage,
+    size_of_message,
+)
 from turmericreel.state.commands.union import Command, Result
 from turmericreel.state.replicated_machine import ReplicatedMachine
 from turmericreel.state.storage.entries import MemberId, instance_of
 from turmericreel.state.storage.log_storage import LogStorage
+from turmericreel.util.bounded_queue import BoundedQueue
 from turmericreel.util.clock import Clock
 
 COMMAND_LIMIT_BYTES = 3 * 1024 * 1024
 MAX_WAITING_PROPOSALS = 20_000
+MAX_INBOX_ITEMS = 100_000
+MAX_INBOX_BYTES = 16 * 1024 * 1024
 TRANSFER_TIMEOUT_S = 2.0
 MAX_INBOX_BATCH = 4_000
 DISK_CHECK_S = 0.25
@@ -110,7 +118,9 @@
         self.control_address_of = control_address_of
         self.clock = clock
         self.on_failure = on_failure
-        self.inbox: Queue = Queue()
+        self.inbox = BoundedQueue(
+            max_items=MAX_INBOX_ITEMS, max_bytes=MAX_INBOX_BYTES, size_of=_size_of
+        )
         self.runner = ThreadRunner()
         storage.waits_for_room = True
         self.member = Member(
@@ -122,7 +132,7 @@
             runner=self.runner,
             send=transport.send,
             notify=self.notify_applied,
-            report=self.inbox.put,
+            report=self.inbox.put_always,
             timing=timing,
             clock=clock,
             rng=rng,
@@ -157,7 +167,7 @@
         """Transfer leadership if this member leads, stop, and close the storage."""
         if self.task is not None and not self.task.dead:
             request = LeadershipTransfer(done=AsyncResult())
-            self.inbox.put(request)
+            self.inbox.put_always(request)
             with Timeout(TRANSFER_TIMEOUT_S, False):
                 request.done.get()
             self.task.kill()
@@ -195,7 +205,8 @@
         if self.member.core is None or self.failure is not None:
             raise FailureError(NotLeader(leader=self.leader_hint()))
         proposal = Proposal(data=data, done=AsyncResult())
-        self.inbox.put(proposal)
+        if not self.inbox.put(proposal):
+            raise FailureError(ControlUnavailable(detail="too many messages wait"))
         try:
             return proposal.done.get(timeout=timeout)
         except Timeout as error:
@@ -273,8 +284,8 @@
         items = []
         try:
             items.append(self.inbox.get(timeout=max(0.0, wait)))
-            while len(items) < MAX_INBOX_BATCH:
-                items.append(self.inbox.get_nowait())
+            while len(self.inbox) and len(items) < MAX_INBOX_BATCH:
+                items.append(self.inbox.get())
         except Empty:
             pass
         return items
@@ -326,9 +337,12 @@
         if not self._has_leader_role():
             self._refuse(proposals)
             return
-        n_free = max(0, MAX_WAITING_PROPOSALS - len(self.member.applier.waiters))
+        n_free = 0
+        if self.member.has_room:
+            n_waiting = len(self.member.applier.waiters)
+            n_free = max(0, MAX_WAITING_PROPOSALS - n_waiting)
         for proposal in proposals[n_free:]:
-            overloaded = ControlUnavailable(detail="too many proposals are waiting")
+            overloaded = ControlUnavailable(detail="too much is waiting to be stored")
             proposal.done.set_exception(FailureError(overloaded))
         self.member.propose(proposals[:n_free])
 
@@ -369,3 +383,12 @@
         self.deferred_proposals = []
         self.leadership_transfer.done.set(None)
         self.leadership_transfer = None
+
+
+def _size_of(item: object) -> int:
+    match item:
+        case RaftMessage() | PeerMessage():
+            return size_of_message(item)
+        case Proposal():
+            return len(item.data)
+    return 0
--- a/turmericreel/coordination/raft/replication.py
+++ b/turmericreel/coordination/raft/replication.py
@@ -17,6 +17,7 @@
 BATCH_LIMIT_BYTES = 256 * 1024
 BATCH_LIMIT_ENTRIES = 2_000
 MAX_IN_FLIGHT_MESSAGES = 32
+MAX_IN_FLIGHT_BYTES = 4 * 1024 * 1024
 
 
 class SnapshotSource(ABC):
@@ -253,6 +254,7 @@
         while (
             progress.next_index <= self.state.tail.last_index
             and progress.n_in_flight < MAX_IN_FLIGHT_MESSAGES
+            and self._in_flight_bytes(progress) < MAX_IN_FLIGHT_BYTES
         ):
             entries = self._batch(progress)
             self._send_append(member, progress, now, entries)
@@ -268,6 +270,10 @@
         self._send_append(member, progress, now, self._batch(progress))
         return True
 
+    def _in_flight_bytes(self, progress: Progress) -> int:
+        tail = self.state.tail
+        return tail.size_after(progress.match_index, progress.next_index - 1)
+
     def _batch(self, progress: Progress) -> list:
         return self.state.tail.batch(
             progress.next_index,
--- a/turmericreel/coordination/raft/tail.py
+++ b/turmericreel/coordination/raft/tail.py
@@ -1,5 +1,8 @@
 """The part of the log kept in memory: all entries after the compacted ones."""
 
+from bisect import bisect_left
+from itertools import accumulate
+
 from turmericreel.state.storage.entries import Entry, EntryKind, Membership
 
 MEMBERSHIP = EntryKind.MEMBERSHIP
@@ -12,12 +15,18 @@
     ----------
     start_index, start_term : int
         Index and term of the last compacted entry.
+    ends : list of int
+        For each entry, the total size of all entries up to and including it, in bytes
+        from `start_bytes` on.
+    start_bytes : int
     """
 
     def __init__(self, *, start_index: int, start_term: int, entries: list[Entry]):
         self.start_index = start_index
         self.start_term = start_term
         self.entries = entries
+        self.start_bytes = 0
+        self.ends = list(accumulate(entry.size_bytes for entry in entries))
 
     @property
     def last_index(self) -> int:
@@ -34,6 +43,27 @@
         """Time stamp of the last entry in milliseconds, 0 without entries."""
         return self.entries[-1].time_ms if self.entries else 0
 
+    @property
+    def size_bytes(self) -> int:
+        """Total size of the entries in bytes."""
+        return self._end_of(self.last_index) - self.start_bytes
+
+    def size_after(self, index: int, last: int) -> int:
+        """Return the total size of the entries after `index` up to `last`, in bytes."""
+        return max(0, self._end_of(last) - self._end_of(index))
+
+    def index_before(self, last: int, *, limit_bytes: int) -> int:
+        """Return the index after which the entries up to `last` fit into a size.
+
+        Parameters
+        ----------
+        limit_bytes : int
+        """
+        lowest_end = self._end_of(last) - limit_bytes
+        if lowest_end <= self.start_bytes:
+            return self.start_index
+        return self.start_index + bisect_left(self.ends, lowest_end) + 1
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, or None if it is compacted or missing."""
         if index == self.start_index:
@@ -45,11 +75,14 @@
     def append(self, entry: Entry) -> None:
         """Append the next entry."""
         assert entry.index == self.last_index + 1
+        self.ends.append(self._end_of(self.last_index) + entry.size_bytes)
         self.entries.append(entry)
 
     def truncate_from(self, index: int) -> None:
         """Drop the entry at `index` and all after it."""
-        del self.entries[index - self.start_index - 1 :]
+        position = index - self.start_index - 1
+        del self.entries[position:]
+        del self.ends[position:]
 
     def slice(self, first: int, last: int) -> list[Entry]:
         """Return the entries from `first` to `last`, both included."""
@@ -82,7 +115,9 @@
             return
         term = self.term_at(index)
         assert term is not None
+        self.start_bytes = self._end_of(index)
         del self.entries[: index - self.start_index]
+        del self.ends[: index - self.start_index]
         self.start_index = index
         self.start_term = term
 
@@ -91,6 +126,8 @@
         self.start_index = index
         self.start_term = term
         self.entries = []
+        self.start_bytes = 0
+        self.ends = []
 
     def first_of_term(self, index: int) -> int:
         """Return the first index in memory that has the same term as `index`."""
@@ -99,6 +136,10 @@
             index -= 1
         return index
 
+    def _end_of(self, index: int) -> int:
+        position = min(index, self.last_index) - self.start_index - 1
+        return self.ends[position] if position >= 0 else self.start_bytes
+
 
 class MembershipHistory:
     """Membership changes by log index.
--- a/turmericreel/coordination/raft/transport.py
+++ b/turmericreel/coordination/raft/transport.py
@@ -10,7 +10,7 @@
 
 from eliot import log_message
 from gevent import sleep, spawn
-from gevent.queue import Empty, Full, Queue
+from gevent.queue import Empty
 from gevent.server import StreamServer
 from gevent.socket import create_connection, socket
 from gevent.ssl import SSLContext
@@ -26,15 +26,18 @@
     RaftHello,
     RaftMessage,
     ToPeer,
+    size_of_message,
 )
 from turmericreel.protocols.sockets import set_unacknowledged_timeout
 from turmericreel.protocols.tls import accept_tls, connect_tls
+from turmericreel.util.bounded_queue import BoundedQueue
 
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSE_S = 0.05
 HELLO_TIMEOUT_S = 5.0
 KEEPALIVE_S = 1.0
 MAX_QUEUED_MESSAGES = 256
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
 
 DeliverCallback = Callable[[RaftMessage | Introduction], None]
 
@@ -77,13 +80,16 @@
         self.address = parse_address(address)
         self.context = context
         self.hello = hello
-        self.queue: Queue = Queue(maxsize=MAX_QUEUED_MESSAGES)
+        self.queue = BoundedQueue(
+            max_items=MAX_QUEUED_MESSAGES,
+            max_bytes=MAX_QUEUED_BYTES,
+            size_of=size_of_message,
+        )
         self.task = spawn(self._run)
 
     def send(self, message: RaftMessage | PeerMessage) -> None:
         """Queue a message, or drop it if the queue is full."""
-        with contextlib.suppress(Full):
-            self.queue.put_nowait(message)
+        self.queue.put(message)
 
     def stop(self) -> None:
         """Stop the task, which closes the stream."""
@@ -93,7 +99,7 @@
         while True:
             with contextlib.suppress(OSError, FailureError):
                 self._serve_connection()
-            self._drop_queued()
+            self.queue.clear()
             sleep(RECONNECT_PAUSE_S)
 
     def _serve_connection(self) -> None:
@@ -129,10 +135,6 @@
         except Empty:
             return self.hello
 
-    def _drop_queued(self) -> None:
-        while not self.queue.empty():
-            self.queue.get_nowait()
-
 
 class PeerListener:
     """Task that accepts streams of peers, for all groups of an instance.
--- a/turmericreel/coordinator/sessions.py
+++ b/turmericreel/coordinator/sessions.py
@@ -4,7 +4,6 @@
 
 from eliot import log_message
 from gevent import Greenlet, sleep, spawn
-from gevent.queue import Full, Queue
 from gevent.server import StreamServer
 from gevent.socket import create_connection
 
@@ -26,10 +25,13 @@
     Servers,
     ToCoordinator,
     ToGateway,
+    size_of_message,
 )
 from turmericreel.protocols.sockets import set_unacknowledged_timeout
+from turmericreel.util.bounded_queue import BoundedQueue
 
 MAX_QUEUED_MESSAGES = 1_024
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
 # Instances report every 0.5 s, so this tolerates several lost reports.
 IDLE_TIMEOUT_S = 1.8
 CONNECT_TIMEOUT_S = 1.0
@@ -47,14 +49,16 @@
 
     def __init__(self, *, stream: FrameStream):
         self.stream = stream
-        self.queue: Queue = Queue(maxsize=MAX_QUEUED_MESSAGES)
+        self.queue = BoundedQueue(
+            max_items=MAX_QUEUED_MESSAGES,
+            max_bytes=MAX_QUEUED_BYTES,
+            size_of=size_of_message,
+        )
         self.task = spawn(self._write)
 
     def send(self, message: RoutingMessage) -> None:
         """Queue a message; close the stream if its queue is full."""
-        try:
-            self.queue.put_nowait(message)
-        except Full:
+        if not self.queue.put(message):
             log_message("coordinator:slow_session", dropped=type(message).__name__)
             self.stream.close()
 
--- a/turmericreel/protocols/raft_messages.py
+++ b/turmericreel/protocols/raft_messages.py
@@ -10,6 +10,9 @@
     SnapshotMeta,
 )
 
+# Memory that a message takes besides its entries or its part of a snapshot.
+MESSAGE_OVERHEAD_BYTES = 512
+
 
 class RaftMessage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Base class of the messages; the class name is the tag on the wire.
@@ -182,3 +185,14 @@
     | RaftHello
     | Introduction
 )
+
+
+def size_of_message(message: RaftMessage | PeerMessage) -> int:
+    """Return the approximate memory that a message takes, in bytes."""
+    size = MESSAGE_OVERHEAD_BYTES
+    match message:
+        case Append(entries=entries, packed=packed):
+            size += len(packed) + sum(entry.size_bytes for entry in entries)
+        case SnapshotChunk(data=data):
+            size += len(data)
+    return size
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -14,6 +14,10 @@
 from turmericreel.model.usage import UsageBatch
 from turmericreel.model.version_evidence import VersionEvidence
 
+# Memory that a message takes, and each item of a list in it.
+MESSAGE_OVERHEAD_BYTES = 256
+ITEM_BYTES = 512
+
 
 class RoutingMessage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Base class of the messages; the class name is the tag on the wire."""
@@ -212,3 +216,16 @@
     | PlaceAnswers
     | ServerCrashes
 )
+
+
+def size_of_message(message: RoutingMessage) -> int:
+    """Return the approximate memory that a message takes, in bytes."""
+    size = MESSAGE_OVERHEAD_BYTES
+    match message:
+        case RoutingDocument(compressed=compressed):
+            size += len(compressed)
+        case Servers(servers=items) | Gateways(gateways=items):
+            size += len(items) * ITEM_BYTES
+        case ServerCrashes(crashes=items):
+            size += len(items) * ITEM_BYTES
+    return size
--- a/turmericreel/state/storage/entries.py
+++ b/turmericreel/state/storage/entries.py
@@ -10,6 +10,8 @@
 MemberId = NewType("MemberId", str)
 
 MEMBER_SEPARATOR = "#"
+# Memory that an entry takes besides its data.
+ENTRY_OVERHEAD_BYTES = 256
 
 
 def member_id(instance: InstanceId, incarnation: int) -> MemberId:
@@ -45,6 +47,11 @@
     kind: EntryKind = EntryKind.COMMAND
     data: bytes = b""
 
+    @property
+    def size_bytes(self) -> int:
+        """Approximate memory that the entry takes, in bytes."""
+        return len(self.data) + ENTRY_OVERHEAD_BYTES
+
 
 class Membership(msgspec.Struct, frozen=True, kw_only=True):
     """Members of the group: voters count towards a quorum, the others only replicate.
