Pass on only answers that bear the request's id and the server's signature

Cause: an answer without an id, or with two, counted as that of the request, and nothing checked the signature. On related paths: limits and pauses were recorded from such bytes before the check, at both doors; and a framing header that is sent twice was read as missing, so that a cut answer looked whole.

Why it works: the check is in the one place that all attempts pass, before anything else is read from the answer. What does not pass it is a failed attempt with an unknown outcome, so that nothing that may run once is repeated.

--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -72,8 +72,16 @@
     the same ports.
     """
 
-    def __init__(self, folder, *, n_coordinators: int = 1, n_gateways: int = 1):
+    def __init__(
+        self,
+        folder,
+        *,
+        n_coordinators: int = 1,
+        n_gateways: int = 1,
+        names: HeaderNames = NAMES,
+    ):
         self.folder = folder
+        self.names = names
         self.internal_port = free_port()
         self.raft_port = free_port()
         self.relay_port = free_port()
@@ -143,7 +151,7 @@
             ),
             seeds=lambda: list(self.seeds),
             codec=JsonCodec(),
-            names=NAMES,
+            names=self.names,
             registry=CollectorRegistry(),
             n_log_lines_dropped=lambda: 0,
             clock=SystemClock(),
@@ -176,7 +184,7 @@
 
     def add_server(self, name: str, *, version: str = "v1", **options) -> RoutedServer:
         """Start a fake server and register it, and again after each restart."""
-        server = RoutedServer(server=name, names=NAMES, **options)
+        server = RoutedServer(server=name, names=self.names, **options)
         server.start()
         self.servers[name] = server
 
--- a/test/routing/test_relays.py
+++ b/test/routing/test_relays.py
@@ -46,10 +46,10 @@
 
 @contextmanager
 def cut_system(
-    folder, *, n_gateways: int, n_servers: int = 2, n_cut: int = 1
+    folder, *, n_gateways: int, n_servers: int = 2, n_cut: int = 1, **options
 ) -> Iterator[SmallSystem]:
     """Run a system whose first gateways reach servers only through the others."""
-    with small_system(folder, n_gateways=n_gateways) as running:
+    with small_system(folder, n_gateways=n_gateways, **options) as running:
         running.submit(
             make_route("/safe/", max_attempts=2),
             make_route("/unsafe/", kind=RouteKind.UNSAFE, max_attempts=1),
--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -103,6 +103,17 @@
         value = self.parser.get(name)
         return value if isinstance(value, str) else default
 
+    def header_values(self, name: str) -> list[str]:
+        """Return the values of a header in the order in which they were sent."""
+        value = self.parser.get(name, [])
+        return [value] if isinstance(value, str) else list(value)
+
+    @property
+    def states_its_end(self) -> bool:
+        """Whether the header states a length or chunks, however often."""
+        codings = ",".join(self.header_values("Transfer-Encoding")).lower()
+        return "chunked" in codings or bool(self.header_values("Content-Length"))
+
     def read_header(self) -> None:
         """Read the whole header.
 
@@ -149,9 +160,8 @@
             With `PeerUnreachable` when the body broke off, is too long, or has neither
             a length nor chunks, so that its end looks like a lost connection.
         """
-        chunked = "chunked" in self.header("Transfer-Encoding").lower()
         bodyless = self.status in (204, 304)
-        if not (chunked or bodyless or self.header("Content-Length")):
+        if not (bodyless or self.states_its_end):
             raise self._unreachable("the answer has neither a length nor chunks")
         while not self.parser.message_complete:
             self._read_block()
--- a/turmericreel/entry/server_client.py
+++ b/turmericreel/entry/server_client.py
@@ -144,9 +144,9 @@
             answer.read_header()
         except FailureError as error:
             raise _unknown(dispatch, error.failure.describe()) from error
+        _check_identity(dispatch, answer)
         self._record_rate(dispatch, answer)
         self.on_brittle(dispatch.server, answer.header(headers.BRITTLE))
-        _check_identity(dispatch, answer)
         refused = answer.header(headers.REFUSED)
         if refused:
             raise _not_run(
--- a/turmericreel/gateway/header_names.py
+++ b/turmericreel/gateway/header_names.py
@@ -11,6 +11,10 @@
     ----------
     attempt_id : str
         Id of a client's attempt, which is one request to a gateway; servers return it.
+    signature : str
+        Signature of the server, which all successful answers bear.  Answers without it,
+        or without `attempt_id`, are not those of the server.  ``""`` if servers do not
+        sign.
     deadline_ms : str
         Time left for the request, in milliseconds; from clients and to servers.
     key : str
@@ -52,6 +56,7 @@
     """
 
     attempt_id: str = "Turmericreel-Request-Id"
+    signature: str = ""
     deadline_ms: str = "Turmericreel-Deadline-Ms"
     key: str = "Turmericreel-Client-Key"
     account: str = "Turmericreel-Account"
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -93,8 +93,7 @@
         has_head = self.parser.headers_complete and self.status >= MIN_FINAL_STATUS
         if not has_head or self.timed_out or self.was_reset:
             return False
-        chunked = "chunked" in self.header("Transfer-Encoding").lower()
-        return not (chunked or self.header("Content-Length"))
+        return not self.states_its_end
 
     def read_whole_body(self, limit_bytes: int, *, buffer: AnswerBuffer) -> bytes:
         """Read the rest of the body and return the whole.
@@ -209,7 +208,8 @@
         last_event_id : str or None
             Event after which the server should resume a stream.
         on_header : callable
-            Called with the server and its answer, also if it refused the request.
+            Called with the server and its answer, also if it refused the request, but
+            not with bytes that are not its answer.
 
         Raises
         ------
@@ -242,8 +242,8 @@
             raise self._outcome_unknown(error.failure.describe()) from error
         self.answer.deadline = self.deadline
         self.answer.set_idle_timeout(None)
-        on_header(self.server, self.answer)
         self._check_identity()
+        on_header(self.server, self.answer)
         if self.answer.header(self.names.not_run):
             self._check_refusal()
             raise _not_run(
@@ -310,16 +310,33 @@
             raise self._outcome_unknown(str(error)) from error
 
     def _check_identity(self) -> None:
-        answered = self.answer.header(self.names.attempt_id)
-        if answered and answered != self.request.attempt_id:
-            log_message(
-                "gateway:answer_of_another",
-                request=self.request.attempt_id,
-                server=self.server.server,
-                answered=answered,
-            )
-            self.answer.parser.has_extra_bytes = True
-            raise self._outcome_unknown("answer of another request")
+        """Raise `OutcomeUnknown` if the answer is not the server's to this request."""
+        problem = self._identity_problem()
+        if problem is None:
+            return
+        log_message(
+            "gateway:answer_of_another",
+            request=self.request.attempt_id,
+            server=self.server.server,
+            status=self.answer.status,
+            answered=self.answer.header_values(self.names.attempt_id),
+            problem=problem,
+        )
+        self.answer.parser.has_extra_bytes = True
+        raise self._outcome_unknown(problem)
+
+    def _identity_problem(self) -> str | None:
+        answered = self.answer.header_values(self.names.attempt_id)
+        if answered and answered != [self.request.attempt_id]:
+            return "answer of another request"
+        if not self.names.signature:
+            return None
+        if self.request.attempt_id and not answered:
+            return "answer without the id of a request"
+        is_success = self.answer.status // 100 == 2
+        if is_success and not self.answer.header(self.names.signature):
+            return "success without a signature"
+        return None
 
     def _check_refusal(self) -> None:
         """Raise `OutcomeUnknown` if the refusal may be an earlier one, sent again."""
--- a/turmericreel/platform/headers.py
+++ b/turmericreel/platform/headers.py
@@ -4,6 +4,7 @@
 
 PLATFORM_HEADERS = HeaderNames(
     attempt_id="Turmericreel-Attempt-Id",
+    signature="Turmericreel-Backend-Signature",
     deadline_ms="Turmericreel-Deadline-Ms",
     key="Turmericreel-Key",
     account="Turmericreel-Tenant",
