Serve or refuse the clients of a stopping gateway until its process ends

Cause: the gateway stopped accepting after 1.5 times the validity of a list, where slow clients use one for three times as long; and the listening socket was only no longer watched, so the kernel went on accepting for nobody. Entry instances had the second cause from the end of the lists until all was settled.

Why it works: the listener accepts until the end. Clients are served for as long as the slowest may use a list, as far as their requests end in time, and refused at once afterwards; what the kernel has accepted is answered before the socket is closed.

--- a/test/accounts/test_drain.py
+++ b/test/accounts/test_drain.py
@@ -294,3 +294,24 @@
 def test_chart_reaches_every_state():
     chart = Chart(package="turmericreel.daemon", name="drain")
     assert unreachable_states(chart.definition) == set()
+
+
+def test_late_caller_is_refused_at_once_while_a_stream_runs(fleet: Fleet):
+    # Guards against connections that the kernel accepts and nobody reads.
+    for fake in fleet.fakes:
+        fake.behaviour.n_tokens = 40
+        fake.behaviour.between_tokens_ms = 50.0
+    entry = fleet.entries.pop()
+    address = str(entry.http_address)
+    body = chat_body("long", stream=True)
+    call = spawn(http_call, address, "POST", "/v1/chat/completions", body=body)
+    wait_until(lambda: entry.request_path.n_running == 1, what="running")
+    drain = Drain(
+        instance=entry, deadline_ms=30_000, clock=SystemClock(), validity_ms=0
+    )
+    draining = spawn(drain.run)
+    wait_until(lambda: drain.chart.state == "finishing", what="no list is valid")
+    late = http_call(address, "POST", "/v1/chat/completions", body=chat_body("late"))
+    assert late.status == 503
+    assert draining.get().n_cut == 0
+    assert call.get().body.endswith(b"data: [DONE]\n\n")
--- a/turmericreel/daemon/drain.py
+++ b/turmericreel/daemon/drain.py
@@ -1,11 +1,12 @@
 """Stops an instance gracefully: requests finish, and callers move to other instances.
 
 The instance leaves the address list immediately.  It keeps serving until every address
-list that names it has expired, then waits for running requests to end and for their
-settlements to be durable, and stops.
+list that names it has expired, refuses new requests while running ones end and their
+settlements become durable, and stops.
 """
 
 from dataclasses import dataclass
+from math import inf
 
 import msgspec
 from eliot import log_message
@@ -20,6 +21,8 @@
 IDLE_PERIOD_S = 0.25
 # Answers that end at the deadline take this time to reach their callers.
 ANSWER_S = 0.2
+# Time to refuse the callers that were accepted last.
+FINISH_TIMEOUT_S = 0.1
 CHART_PACKAGE = "turmericreel.daemon"
 
 
@@ -85,6 +88,7 @@
             self._wait_for_address_lists()
             self._finish_requests()
             self._settle()
+            self.instance.http_server.finish(timeout_s=FINISH_TIMEOUT_S)
         report = self._report()
         self.instance.stop()
         self._fire_event("stopped")
@@ -127,7 +131,8 @@
 
     def _finish_requests(self) -> None:
         self._fire_event("answers_ran_out")
-        self.instance.http_server.stop_accepting()
+        # The listener stays open: callers with an old list are refused at once.
+        self.instance.request_path.admission.deadline = -inf
         idle_until = self.clock.monotonic() + IDLE_PERIOD_S
         while not self._deadline_passed():
             now = self.clock.monotonic()
@@ -136,6 +141,7 @@
             if now >= idle_until:
                 return
             sleep(POLL_S)
+            self.instance.http_server.close_idle()
 
     def _settle(self) -> None:
         self._fire_event("requests_ended")
--- a/turmericreel/entry/http_server.py
+++ b/turmericreel/entry/http_server.py
@@ -6,9 +6,10 @@
 """
 
 import contextlib
-from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
+from socket import IPPROTO_TCP, SHUT_RDWR, SHUT_WR, TCP_NODELAY
 
 from eliot import log_message
+from gevent import sleep
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 from gevent.ssl import SSLContext, SSLError
 from gevent.timeout import Timeout
@@ -24,10 +25,12 @@
 from turmericreel.model.settings import LimitsSettings
 from turmericreel.protocols.addresses import Address
 from turmericreel.protocols.dropped_input import DropReason, Endpoint, count_dropped
+from turmericreel.protocols.sockets import is_idle
 
 REFUSAL_TIMEOUT_S = 0.5
 RETRY_AFTER_MS = 1_000
 MAX_DISCARD_BYTES = 65_536
+FINISH_POLL_S = 0.02
 
 
 class HeaderError(ValueError):
@@ -111,20 +114,41 @@
 
 
 class BoundedHandler(WSGIHandler):
-    """Serves one connection within the server's limits."""
+    """Serves one connection within the server's limits.
+
+    Attributes
+    ----------
+    n_requests : int
+        Requests that began to arrive on the connection.
+    """
 
     ignored_socket_errors = (*WSGIHandler.ignored_socket_errors, "timed out")
 
     def __init__(self, sock, address, server):
         super().__init__(sock, address, server)
         self.limits: LimitsSettings = server.limits
+        self.n_requests = 0
 
     def read_requestline(self) -> str:
         """Return the request line, or ``""`` if none arrived in time."""
+        if not self._wait_for_request():
+            return ""
+        self.n_requests += 1
+        self.limits = self.server.connection_limits()
         with Timeout(self.limits.header_timeout_ms / 1_000, False):
             return super().read_requestline()
         return ""
 
+    def _wait_for_request(self) -> bool:
+        """Wait for the first byte of a request; return whether it came in time."""
+        self.server.idle_handlers.add(self)
+        try:
+            with Timeout(self.server.idle_timeout_s(), False):
+                return bool(self.rfile.peek(1))
+        finally:
+            self.server.idle_handlers.discard(self)
+        return False
+
     def read_request(self, raw_requestline: str) -> bool:
         """Read the header.
 
@@ -219,6 +243,11 @@
     limits : LimitsSettings
     context : SSLContext or None
         None for plain text.
+
+    Attributes
+    ----------
+    idle_handlers : set of BoundedHandler
+        Handlers of the connections that wait for a request.
     """
 
     handler_class = BoundedHandler
@@ -241,6 +270,57 @@
         )
         self.limits = limits
         self.n_connections = 0
+        self.idle_handlers: set[BoundedHandler] = set()
+
+    @property
+    def n_busy(self) -> int:
+        """Connections on which a request is being read, run or answered."""
+        return self.n_connections - len(self.idle_handlers)
+
+    def connection_limits(self) -> LimitsSettings:
+        """Return the limits of the next request."""
+        return self.limits
+
+    def idle_timeout_s(self) -> float:
+        """Return how long a connection may wait for a request, in seconds."""
+        return self.limits.header_timeout_ms / 1_000
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for another request.
+
+        One with a received but unread request stays open, so that the request is
+        answered, and so does a new one, whose first request is on its way.
+        """
+        for handler in list(self.idle_handlers):
+            if handler.n_requests and is_idle(handler.socket):
+                handler.socket.shutdown(SHUT_RDWR)
+
+    def close_listener(self) -> None:
+        """Serve the connections that wait to be accepted, and refuse new ones.
+
+        Connections that are left unaccepted would be reset with their requests unread.
+        """
+        if self.closed:
+            return
+        while (accepted := self.do_read()) is not None:
+            self.do_handle(*accepted)
+        self.close()
+
+    def finish(self, *, timeout_s: float) -> None:
+        """Close the listener, and wait until the requests in progress have ended.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds.
+        """
+        self.close_listener()
+        with Timeout(timeout_s, False):
+            # Lets the connections begin that were accepted last.
+            sleep(0)
+            while self.n_busy:
+                sleep(FINISH_POLL_S)
+                self.close_idle()
 
     def wrap_socket_and_handle(self, client_socket, address) -> None:
         """Complete the TLS handshake within the header timeout, then serve."""
--- a/turmericreel/gateway/application.py
+++ b/turmericreel/gateway/application.py
@@ -1,16 +1,20 @@
 """The WSGI application of the gateway: reads, routes and answers requests."""
 
-import errno
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import replace
 from email.message import Message
+from functools import partial
 
 import msgspec
 from eliot import log_message, write_traceback
 
 from turmericreel.decisions.route_table import RouteTable
 from turmericreel.decisions.stop_admission import StopAdmission
-from turmericreel.entry.application import RAW_PATH, SOCKET_KEY, STATUS_LINES
+from turmericreel.entry.application import (
+    RAW_PATH,
+    SOCKET_KEY,
+    STATUS_LINES,
+)
 from turmericreel.entry.caller_watch import CallerWatch
 from turmericreel.entry.http_server import BodyTimeoutError
 from turmericreel.entry.parse_request import content_digest
@@ -30,6 +34,7 @@
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.gateway.ingress import HEADERS_KEY, TARGET_KEY
 from turmericreel.gateway.metrics import GatewayMetrics, RequestOutcome
+from turmericreel.gateway.streamed_answer import StreamedAnswer
 from turmericreel.gateway.view import GatewayView
 from turmericreel.model.failures import (
     Failure,
@@ -93,7 +98,7 @@
     admission : StopAdmission
         Requests that are taken while the gateway is stopping.
     n_running : int
-        Requests and streams in progress.
+        Requests in progress, until their answers are written.
     """
 
     def __init__(
@@ -145,8 +150,11 @@
             answer = self.dispatcher.run(request)
             if answer.events is not None:
                 # The streamed answer now watches for a client disconnect.
+                self.n_running += 1
                 body = StreamedAnswer(
-                    application=self, request=request, answer=answer, watch=watch
+                    answer=answer,
+                    watch=watch,
+                    on_close=partial(self._end_stream, request),
                 )
                 watch = CallerWatch(sock=None)
                 self._start(answer, start_response)
@@ -159,13 +167,19 @@
         self._start(answer, start_response)
         return [answer.body]
 
+    def _end_stream(
+        self, request: ClientRequest, outcome: RequestOutcome, detail: str
+    ) -> None:
+        self.n_running -= 1
+        self.record_end(request, outcome, detail)
+
     def _read_request(self, environ: dict, arrived: float) -> ClientRequest:
         headers = environ[HEADERS_KEY]
+        if self.refusing:
+            raise _stopping_refusal("the instance is stopping")
         table = self.view.table
         if table is None:
             table = self._wait_for_table(headers)
-        if self.refusing:
-            raise _refusal(NotRunReason.STOPPING, "the instance is stopping")
         route = table.find(headers.get("Host", ""), environ[RAW_PATH])
         if route is None:
             raise _refusal(
@@ -184,11 +198,7 @@
         if not self.admission.may_take(
             route.name, deadline=request.deadline, now=self.clock.monotonic()
         ):
-            raise _refusal(
-                NotRunReason.STOPPING,
-                "the instance stops before the request would end",
-                retry_after_ms=STOPPING_RETRY_AFTER_MS,
-            )
+            raise _stopping_refusal("the instance stops before the request would end")
         # At the stop deadline it still gets an answer.
         deadline = min(request.deadline, self.admission.deadline)
         return replace(request, deadline=deadline)
@@ -343,54 +353,6 @@
         )
 
 
-class StreamedAnswer:
-    """Response body that streams events; closing it ends the attempt.
-
-    Parameters
-    ----------
-    application : GatewayApplication
-    request : ClientRequest
-    answer : Answer
-    watch : CallerWatch
-        Already started.
-    """
-
-    def __init__(
-        self,
-        *,
-        application: GatewayApplication,
-        request: ClientRequest,
-        answer: Answer,
-        watch: CallerWatch,
-    ):
-        self.application = application
-        self.request = request
-        self.events = answer.events
-        self.watch = watch
-        self.outcome = RequestOutcome.CLIENT_LEFT
-        self.detail = ""
-        application.n_running += 1
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the events as they arrive."""
-        try:
-            yield from self.events
-        except FailureError as error:
-            self.outcome = RequestOutcome.BROKEN
-            self.detail = error.failure.describe()
-            # The connection must close without the final chunk, so that the client
-            # sees that the answer is incomplete.
-            raise BrokenPipeError(errno.EPIPE, self.detail) from error
-        self.outcome = RequestOutcome.ANSWERED
-
-    def close(self) -> None:
-        """End the attempt; one that is not complete is cancelled at the server."""
-        self.application.n_running -= 1
-        self.watch.stop()
-        self.events.close()
-        self.application.record_end(self.request, self.outcome, self.detail)
-
-
 def _priority_of(route: Route, account: AccountKeys | None) -> int:
     if account is not None and account.priority is not None:
         return account.priority
@@ -407,6 +369,12 @@
     return BROKEN
 
 
+def _stopping_refusal(detail: str) -> FailureError:
+    return _refusal(
+        NotRunReason.STOPPING, detail, retry_after_ms=STOPPING_RETRY_AFTER_MS
+    )
+
+
 def _refusal(
     reason: NotRunReason,
     detail: str,
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -5,7 +5,6 @@
 from random import SystemRandom
 
 from eliot import log_message
-from gevent import sleep
 from prometheus_client import CollectorRegistry
 
 from turmericreel.decisions.content_quarantine import choose_trying_instance
@@ -20,6 +19,7 @@
 from turmericreel.gateway.crash_guard import CrashGuard
 from turmericreel.gateway.dispatcher import Dispatcher
 from turmericreel.gateway.evidence import EvidenceCounter
+from turmericreel.gateway.graceful_stop import GracefulStop
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.gateway.ingress import IngressServer
 from turmericreel.gateway.links import CoordinatorLinks
@@ -54,12 +54,6 @@
 RETRY_BUDGET_FRACTION = 0.5
 # Additional retries per window, for gateways with little traffic.
 RETRY_BUDGET_SLACK = 2.0
-# A slow client may use an address list for this multiple of its validity.
-ADDRESS_LIST_VALIDITY_FACTOR = 1.5
-STOP_MARGIN_S = 0.4
-# Answers that end at the deadline take this time to reach their clients.
-STOP_ANSWER_S = 0.2
-POLL_S = 0.05
 ACTIVE_STAGES = (RolloutStage.PREPARING, RolloutStage.CANARY, RolloutStage.SWITCHED)
 
 
@@ -333,33 +327,19 @@
         return self.chooser.sessions.recent(preparing, now=now)
 
     def stop(self) -> None:
-        """Leave the address list, finish running requests, and stop in time.
+        """Leave the address lists, finish running requests, and stop in time.
 
-        New requests are accepted until the address lists with this gateway have
-        expired; requests that still run at the deadline are cut off.
+        Requests that still run at the deadline are cut off.
         """
-        deadline = self.clock.monotonic() + self.settings.stop_deadline_ms / 1_000
-        deadline -= STOP_MARGIN_S
-        log_message("gateway:stopping", n_running=self.application.n_running)
-        self.application.stopping = True
-        self.application.admission.deadline = deadline - STOP_ANSWER_S
-        self.links.report_now()
-        self.relays.stop_accepting()
-        listed_for_s = (
-            self.settings.list_validity_ms / 1_000 * ADDRESS_LIST_VALIDITY_FACTOR
-        )
-        delisted_at = min(self.clock.monotonic() + listed_for_s, deadline)
-        sleep(max(delisted_at - self.clock.monotonic(), 0.0))
-        self.ingress.stop_accepting()
-        self.application.refusing = True
-        while self._is_busy() and self.clock.monotonic() < deadline:
-            sleep(POLL_S)
-            self.ingress.close_idle()
-        log_message(
-            "gateway:stopped",
-            n_cut=self.application.n_running,
-            usage_settled=self.usage.is_settled,
-        )
+        GracefulStop(
+            settings=self.settings,
+            application=self.application,
+            ingress=self.ingress,
+            relays=self.relays,
+            links=self.links,
+            usage=self.usage,
+            clock=self.clock,
+        ).run()
         self.path_checks.stop()
         self.links.stop()
 
@@ -370,13 +350,6 @@
         self.ingress.stop(timeout=0)
         self.relays.stop()
 
-    def _is_busy(self) -> bool:
-        return (
-            self.application.n_running > 0
-            or self.relays.n_relays > 0
-            or not self.usage.is_settled
-        )
-
     def _client_limits(self) -> ClientLimits:
         if self.view.table is None:
             return ClientLimits()
--- a/turmericreel/gateway/ingress.py
+++ b/turmericreel/gateway/ingress.py
@@ -2,35 +2,17 @@
 
 from collections.abc import Callable
 
-from gevent.timeout import Timeout
-
 from turmericreel.entry.http_server import BoundedHandler, BoundedServer
 from turmericreel.model.routing import ClientLimits
 from turmericreel.model.settings import LimitsSettings
 from turmericreel.protocols.addresses import Address
-from turmericreel.protocols.sockets import is_idle
 
 HEADERS_KEY = "turmericreel.headers"
 TARGET_KEY = "turmericreel.target"
-SHUT_RDWR = 2
 
 
 class IngressHandler(BoundedHandler):
-    """Serves one client connection, with a separate idle timeout."""
-
-    def read_requestline(self) -> str:
-        """Return the request line, or ``""`` after the idle timeout."""
-        self.server.idle_handlers.add(self)
-        try:
-            with Timeout(self.server.client_limits().idle_timeout_ms / 1_000, False):
-                if not self.rfile.peek(1):
-                    return ""
-                self.limits = self.server.connection_limits()
-                self.server.idle_handlers.discard(self)
-                return super().read_requestline()
-        finally:
-            self.server.idle_handlers.discard(self)
-        return ""
+    """Serves one client connection."""
 
     def get_environ(self) -> dict:
         """Return the environment with the headers and the target as they were sent."""
@@ -66,7 +48,6 @@
     ):
         self.client_limits = client_limits
         self.n_connections_allowed = connections
-        self.idle_handlers: set[IngressHandler] = set()
         super().__init__(
             address=address,
             application=application,
@@ -85,12 +66,6 @@
             stall_timeout_ms=limits.idle_timeout_ms,
         )
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress.
-
-        A connection with a received but unread request stays open, so that the request
-        is answered.
-        """
-        for handler in list(self.idle_handlers):
-            if is_idle(handler.socket):
-                handler.socket.shutdown(SHUT_RDWR)
+    def idle_timeout_s(self) -> float:
+        """Return the idle timeout in force, in seconds."""
+        return self.client_limits().idle_timeout_ms / 1_000
