Let a stop wait until answers are written

Cause: a request counted as running until its answer was handed to the HTTP server, not until it was written. Entry instances had the same cause.

Why it works: the body of an answer tells when it is written or given up, and the request counts until then; the wait ends at the stop's deadline, as before.

--- a/test/accounts/test_drain.py
+++ b/test/accounts/test_drain.py
@@ -1,6 +1,7 @@
 """Tests of graceful stops: a rolling restart under load must not cut off requests."""
 
 from dataclasses import dataclass, field
+from io import BytesIO
 
 import msgspec
 import pytest
@@ -315,3 +316,17 @@
     assert late.status == 503
     assert draining.get().n_cut == 0
     assert call.get().body.endswith(b"data: [DONE]\n\n")
+
+
+def test_stop_counts_an_answer_until_it_is_written(fleet: Fleet):
+    # Guards against an answer that is cut because its caller reads it slowly.
+    entry = fleet.entries[0]
+    application = entry.http_server.application
+    answer = application(
+        {"REQUEST_METHOD": "GET", "PATH_INFO": "/healthz", "wsgi.input": BytesIO()},
+        lambda status, header: None,
+    )
+    assert application.n_open == 1
+    assert list(answer)
+    answer.close()
+    assert application.n_open == 0
--- a/test/routing/test_clients_during_a_stop.py
+++ b/test/routing/test_clients_during_a_stop.py
@@ -4,8 +4,9 @@
 
 import pytest
 from gevent import sleep, spawn
-from gevent.socket import create_connection
+from gevent.socket import SO_RCVBUF, SOL_SOCKET, create_connection, socket
 
+from test.accounts.scripted_server import ScriptedServer
 from test.routing.library import make_route
 from test.routing.small_system import (
     NAMES,
@@ -24,6 +25,7 @@
 LISTED_S = 3 * LIST_VALIDITY_MS / 1_000
 STOP_DEADLINE_MS = 6_000
 N_EVENTS = 20
+LARGE_BODY = b"x" * 7 * 1024 * 1024
 
 
 @pytest.fixture
@@ -31,6 +33,7 @@
     with small_system(tmp_path) as running:
         running.submit(
             make_route("/unsafe/", kind=RouteKind.UNSAFE, timeout_ms=1_000),
+            make_route("/large/", kind=RouteKind.UNSAFE, timeout_ms=20_000),
             stream_route(timeout_ms=4_000),
         )
         gateway = running.gateways[0]
@@ -133,6 +136,45 @@
         system.connect()
 
 
+def connect_slowly(system: SmallSystem) -> socket:
+    host, _, port = system.gateways[0].settings.client_address.partition(":")
+    sock = socket()
+    sock.setsockopt(SOL_SOCKET, SO_RCVBUF, 4_096)
+    sock.settimeout(TIMEOUT_S)
+    sock.connect((host, int(port)))
+    return sock
+
+
+def test_stop_waits_until_a_whole_answer_is_written(system):
+    # Guards against an answer that is cut because its client reads it slowly.
+    gateway = system.gateways[0]
+
+    def answer(sock, data: bytes) -> bool:
+        head = (
+            f"HTTP/1.1 200 OK\r\n{NAMES.attempt_id}: large\r\n"
+            f"Content-Length: {len(LARGE_BODY)}\r\n\r\n"
+        )
+        sock.sendall(head.encode() + LARGE_BODY)
+        return True
+
+    with ScriptedServer(script=answer) as server:
+        server.stop = lambda: None
+        system.servers["large"] = server
+        system.send_heartbeat("large")
+        wait_until(lambda: "large" in gateway.view.servers, "the server")
+        sock = connect_slowly(system)
+        sock.sendall(request("large", "/large/1"))
+        wait_until(lambda: len(server.requests) == 1, "the request to run")
+        stopping = spawn(gateway.stop)
+        wait_until_delisted(gateway)
+        sleep(0.3)
+        assert not stopping.ready()
+        assert gateway.application.n_running == 1
+        assert read_answer(sock.makefile("rb"))[0] == 200
+        stopping.join()
+        assert gateway.application.n_running == 0
+
+
 def test_closed_gateway_refuses_connections(system):
     # Guards against a listener that outlives its gateway.
     gateway = system.gateways[0]
--- a/turmericreel/daemon/drain.py
+++ b/turmericreel/daemon/drain.py
@@ -136,13 +136,16 @@
         idle_until = self.clock.monotonic() + IDLE_PERIOD_S
         while not self._deadline_passed():
             now = self.clock.monotonic()
-            if self.instance.request_path.n_running:
+            if self._n_open():
                 idle_until = now + IDLE_PERIOD_S
             if now >= idle_until:
                 return
             sleep(POLL_S)
             self.instance.http_server.close_idle()
 
+    def _n_open(self) -> int:
+        return self.instance.http_server.application.n_open
+
     def _settle(self) -> None:
         self._fire_event("requests_ended")
         left_s = max(self.deadline - self.clock.monotonic(), 0.0)
@@ -160,7 +163,7 @@
         path = self.instance.request_path
         settlements = self.instance.settlements
         return DrainReport(
-            n_cut=path.n_running if path is not None else 0,
+            n_cut=self._n_open() if path is not None else 0,
             n_unsettled=settlements.n_pending if settlements is not None else 0,
             took_ms=int((self.clock.monotonic() - self.started_at) * 1_000),
         )
--- a/turmericreel/entry/application.py
+++ b/turmericreel/entry/application.py
@@ -1,6 +1,6 @@
 """The WSGI application: routes each HTTP request to its handler."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -160,6 +160,34 @@
     methods: tuple[str, ...] = ()
 
 
+class CountedBody:
+    """Response body that reports when the server has written it, or given up.
+
+    Parameters
+    ----------
+    parts : iterable of bytes
+    on_close : callable
+        Called once.
+    """
+
+    def __init__(self, *, parts: Iterable[bytes], on_close: Callable[[], None]):
+        self.parts = parts
+        self.on_close = on_close
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return an iterator over the parts."""
+        return iter(self.parts)
+
+    def close(self) -> None:
+        """Close the parts, and report the end."""
+        try:
+            close = getattr(self.parts, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self.on_close()
+
+
 class Application:
     """WSGI application.
 
@@ -174,6 +202,8 @@
     ----------
     closing : bool
         Whether answers ask callers to close their connections.
+    n_open : int
+        Requests that were received and whose answers are not completely written.
     """
 
     def __init__(
@@ -188,12 +218,27 @@
         }
         self.body_limit_bytes = body_limit_bytes
         self.closing = False
+        self.n_open = 0
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve one HTTP request."""
+        self.n_open += 1
+        try:
+            parts = self._serve(environ, start_response)
+        except BaseException:
+            self._count_end()
+            raise
+        return CountedBody(parts=parts, on_close=self._count_end)
+
+    def _count_end(self) -> None:
+        self.n_open -= 1
+
+    def _serve(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         answer = self._answer(environ)
         status_line = STATUS_LINES.get(answer.status, f"{answer.status} Other")
         header = [("Content-Type", answer.content_type), *answer.header.items()]
+        if isinstance(answer.body, Sequence):
+            header.append(("Content-Length", str(sum(map(len, answer.body)))))
         if self.closing:
             header.append(("Connection", "close"))
         start_response(status_line, header)
--- a/turmericreel/gateway/application.py
+++ b/turmericreel/gateway/application.py
@@ -14,6 +14,7 @@
     RAW_PATH,
     SOCKET_KEY,
     STATUS_LINES,
+    CountedBody,
 )
 from turmericreel.entry.caller_watch import CallerWatch
 from turmericreel.entry.http_server import BodyTimeoutError
@@ -165,7 +166,11 @@
         outcome = RequestOutcome.SERVER_FAILED if failed else RequestOutcome.ANSWERED
         self.record_end(request, outcome, str(answer.status))
         self._start(answer, start_response)
-        return [answer.body]
+        self.n_running += 1
+        return CountedBody(parts=[answer.body], on_close=self._count_written)
+
+    def _count_written(self) -> None:
+        self.n_running -= 1
 
     def _end_stream(
         self, request: ClientRequest, outcome: RequestOutcome, detail: str
