Free failed answers at once, and bound incomplete ones together at both doors

What operators saw: servers that send bytes without end exhaust the memory of the instance that calls them.

Cause: the failure of a request that may have run was raised from itself. An exception that is its own cause is a reference cycle that keeps the traceback, its frames, the answer and its body until the garbage collector comes. On related paths: incomplete events had no joint limit, entry instances had none at all, and with a full buffer a sound answer could fail in place of an endless one.

Why it works: the failure is raised again as it is, so that nothing refers to the answer; bodies and events share one counted buffer at each door, and the largest is given up when it is full.

--- a/test/routing/test_cut_answer_heads.py
+++ b/test/routing/test_cut_answer_heads.py
@@ -10,9 +10,9 @@
 from test.routing.library import make_route
 from test.routing.small_system import NAMES, small_system, stream_route, wait_until
 from test.routing.test_relays import cut_system
+from turmericreel.entry.answer_buffer import AnswerBuffer
 from turmericreel.entry.server_answer import ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection
-from turmericreel.gateway.answer_buffer import AnswerBuffer
 from turmericreel.gateway.server_exchange import ForwardedAnswer
 from turmericreel.gateway.server_loads import ServerLoad
 from turmericreel.model.failures import FailureError
@@ -152,10 +152,8 @@
     sender = spawn(send)
     try:
         answer.read_header()
-        if door == "gateway":
-            buffer = AnswerBuffer(limit_bytes=1_000)
-            return answer.read_whole_body(1_000, buffer=buffer)
-        return answer.read_body()
+        buffer = AnswerBuffer(limit_bytes=1_000)
+        return answer.read_body(limit_bytes=1_000, buffer=buffer)
     finally:
         sender.join()
         answer.close()
--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -5,12 +5,12 @@
 from gevent import get_hub
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from turmericreel.entry.answer_buffer import AnswerBuffer
 from turmericreel.entry.server_connections import ServerConnection
 from turmericreel.model.failures import FailureError, PeerUnreachable
 from turmericreel.util.clock import Clock
 
 READ_BYTES = 65_536
-MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADER_BYTES = 65_536
 
 
@@ -55,8 +55,18 @@
     clock : Clock
     deadline : float
         Seconds on the monotonic clock.
+
+    Attributes
+    ----------
+    timed_out : bool
+        Whether reading was given up, at a deadline or for want of room.
+    requires_stated_end : bool
+        Whether a body may not end with its connection, as a lost connection looks the
+        same.
     """
 
+    requires_stated_end = True
+
     def __init__(
         self,
         *,
@@ -83,6 +93,11 @@
         self.timer.stop()
         self.timer.close()
 
+    def give_up(self) -> None:
+        """Let reading fail, as if the time was over."""
+        self.timed_out = True
+        self.connection.shut_down()
+
     @property
     def status(self) -> int:
         """HTTP status code."""
@@ -151,23 +166,34 @@
             else:
                 self._read_block()
 
-    def read_body(self) -> bytes:
-        """Return the whole body.
+    def read_body(self, *, limit_bytes: int, buffer: AnswerBuffer) -> bytes:
+        """Return the rest of the body, which is complete then.
 
         Raises
         ------
         FailureError
-            With `PeerUnreachable` when the body broke off, is too long, or has neither
-            a length nor chunks, so that its end looks like a lost connection.
+            With `PeerUnreachable` when the body broke off, is longer than
+            `limit_bytes`, or too long while the buffer is full; also when it has
+            neither a length nor chunks, if `requires_stated_end`.
         """
         bodyless = self.status in (204, 304)
-        if not (bodyless or self.states_its_end):
+        if self.requires_stated_end and not (bodyless or self.states_its_end):
             raise self._unreachable("the answer has neither a length nor chunks")
-        while not self.parser.message_complete:
-            self._read_block()
-            if len(self.parser.body) > MAX_BODY_BYTES:
-                raise self._unreachable(f"body over {MAX_BODY_BYTES} bytes")
-        return bytes(self.parser.body)
+        share = buffer.open(on_evicted=self.give_up)
+        try:
+            while not self.parser.message_complete:
+                self._read_block()
+                size = len(self.parser.body)
+                has_room = share.resize(size)
+                if size > limit_bytes:
+                    raise self._unreachable(f"body over {limit_bytes} bytes")
+                if not has_room:
+                    raise self._unreachable(f"buffer full at {size} bytes")
+            return bytes(self.parser.body)
+        finally:
+            share.release()
+            # Whatever still refers to the answer must not keep its body.
+            self.parser.body.clear()
 
     def _read_block(self) -> int:
         n_body_bytes = self.parser.n_body_bytes
@@ -183,7 +209,7 @@
             raise self._unreachable(f"malformed HTTP: {error}") from error
         if not data and not self.parser.is_final:
             self.was_closed = True
-            detail = "timed out without data" if self.timed_out else "connection closed"
+            detail = "given up without data" if self.timed_out else "connection closed"
             raise self._unreachable(detail)
         self.last_read = self.clock.monotonic()
         if self.parser.n_body_bytes == n_body_bytes:
@@ -216,8 +242,7 @@
         if self._remaining_s() > 0:
             self._restart_timer()
             return
-        self.timed_out = True
-        self.connection.shut_down()
+        self.give_up()
 
     def _remaining_s(self) -> float:
         now = self.clock.monotonic()
--- a/turmericreel/entry/server_client.py
+++ b/turmericreel/entry/server_client.py
@@ -10,6 +10,7 @@
 
 from turmericreel.decisions.gateway_rates import GatewayRates
 from turmericreel.decisions.rate_limits import parse_rate
+from turmericreel.entry.answer_buffer import AnswerBuffer
 from turmericreel.entry.pieces import Finished, Piece, Started, Tokens, WholeAnswer
 from turmericreel.entry.server_answer import ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection, ServerConnections
@@ -36,6 +37,9 @@
 IDLE_TIMEOUT_S = 10.0
 EVENT_STREAM = "text/event-stream"
 MAX_LOGGED_HEADER = 64
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Of all incomplete answers.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -86,6 +90,7 @@
             None
         )
         self.connections = ServerConnections(clock=clock)
+        self.buffer = AnswerBuffer(limit_bytes=MAX_BUFFERED_BYTES)
 
     def run(self, dispatch: Dispatch) -> Iterator[Piece]:
         """Send an attempt and yield the pieces of its answer.
@@ -154,16 +159,77 @@
             )
         content_type = answer.header("Content-Type", "application/octet-stream")
         if dispatch.request.kind is RequestKind.PLAIN:
-            yield _read_whole_answer(dispatch, answer, content_type)
+            yield self._read_whole_answer(dispatch, answer, content_type)
         elif answer.status >= 500:
             raise _unknown(dispatch, f"status {answer.status}")
         elif answer.status != 200:
-            yield _read_whole_answer(dispatch, answer, content_type)
+            yield self._read_whole_answer(dispatch, answer, content_type)
         elif content_type.startswith(EVENT_STREAM):
             blocks = answer.blocks(idle_timeout_s=self.idle_timeout_s)
-            yield from _read_stream(dispatch, answer, blocks)
+            yield from self._read_stream(dispatch, answer, blocks)
         else:
-            yield from _read_completion(dispatch, answer)
+            yield from self._read_completion(dispatch, answer)
+
+    def _read_stream(
+        self, dispatch: Dispatch, answer: ServerAnswer, blocks: Iterator[bytes]
+    ) -> Iterator[Piece]:
+        request_id = dispatch.request.request_id
+        next_sequence = dispatch.resume_from
+        resumed = answer.header(headers.RESUME_FROM, "0") == str(next_sequence)
+        restarted = not resumed and dispatch.server.deterministic
+        checker = EventChecker(
+            chunk_id=f"{request_id}-{dispatch.attempt}",
+            sequence=next_sequence,
+            n_skip=next_sequence if restarted else 0,
+            requires_sequence=not (resumed or restarted),
+            share=self.buffer.open(on_evicted=answer.give_up),
+        )
+        try:
+            yield Started(request_id=request_id, version=dispatch.version)
+            yield from checker.pieces(blocks)
+        except FailureError as error:
+            detail = error.failure.describe()
+            raise _interrupted(dispatch, checker.sequence, detail) from error
+        finally:
+            checker.share.release()
+
+    def _read_completion(
+        self, dispatch: Dispatch, answer: ServerAnswer
+    ) -> Iterator[Piece]:
+        """Yield the pieces of a completion that the server did not stream."""
+        if dispatch.resume_from:
+            raise _interrupted(
+                dispatch, dispatch.resume_from, "the server did not resume"
+            )
+        body = self._read_body(dispatch, answer)
+        try:
+            completion = msgspec.json.decode(body, type=ChatCompletion)
+            choice = completion.choices[0]
+        except (msgspec.MsgspecError, UnicodeDecodeError, IndexError) as error:
+            raise _unknown(dispatch, f"malformed answer: {error}") from error
+        yield Started(request_id=dispatch.request.request_id, version=dispatch.version)
+        yield Tokens(sequence=0, texts=(choice.message.content,))
+        yield Finished(
+            usage=completion.usage.to_usage(), finish_reason=choice.finish_reason
+        )
+
+    def _read_whole_answer(
+        self, dispatch: Dispatch, answer: ServerAnswer, content_type: str
+    ) -> WholeAnswer:
+        body = self._read_body(dispatch, answer)
+        return WholeAnswer(
+            request_id=dispatch.request.request_id,
+            version=dispatch.version,
+            status=answer.status,
+            content_type=content_type,
+            body=body,
+        )
+
+    def _read_body(self, dispatch: Dispatch, answer: ServerAnswer) -> bytes:
+        try:
+            return answer.read_body(limit_bytes=MAX_BODY_BYTES, buffer=self.buffer)
+        except FailureError as error:
+            raise _unknown(dispatch, error.failure.describe()) from error
 
     def _record_rate(self, dispatch: Dispatch, answer: ServerAnswer) -> None:
         """Record the limit that the answer names, or that it names none."""
@@ -239,64 +305,6 @@
         )
 
 
-def _read_stream(
-    dispatch: Dispatch, answer: ServerAnswer, blocks: Iterator[bytes]
-) -> Iterator[Piece]:
-    request_id = dispatch.request.request_id
-    next_sequence = dispatch.resume_from
-    resumed = answer.header(headers.RESUME_FROM, "0") == str(next_sequence)
-    restarted = not resumed and dispatch.server.deterministic
-    checker = EventChecker(
-        chunk_id=f"{request_id}-{dispatch.attempt}",
-        sequence=next_sequence,
-        n_skip=next_sequence if restarted else 0,
-        requires_sequence=not (resumed or restarted),
-    )
-    yield Started(request_id=request_id, version=dispatch.version)
-    try:
-        yield from checker.pieces(blocks)
-    except FailureError as error:
-        detail = error.failure.describe()
-        raise _interrupted(dispatch, checker.sequence, detail) from error
-
-
-def _read_completion(dispatch: Dispatch, answer: ServerAnswer) -> Iterator[Piece]:
-    """Yield the pieces of a completion that the server did not stream."""
-    if dispatch.resume_from:
-        raise _interrupted(dispatch, dispatch.resume_from, "the server did not resume")
-    body = _read_body(dispatch, answer)
-    try:
-        completion = msgspec.json.decode(body, type=ChatCompletion)
-        choice = completion.choices[0]
-    except (msgspec.MsgspecError, UnicodeDecodeError, IndexError) as error:
-        raise _unknown(dispatch, f"malformed answer: {error}") from error
-    yield Started(request_id=dispatch.request.request_id, version=dispatch.version)
-    yield Tokens(sequence=0, texts=(choice.message.content,))
-    yield Finished(
-        usage=completion.usage.to_usage(), finish_reason=choice.finish_reason
-    )
-
-
-def _read_whole_answer(
-    dispatch: Dispatch, answer: ServerAnswer, content_type: str
-) -> WholeAnswer:
-    body = _read_body(dispatch, answer)
-    return WholeAnswer(
-        request_id=dispatch.request.request_id,
-        version=dispatch.version,
-        status=answer.status,
-        content_type=content_type,
-        body=body,
-    )
-
-
-def _read_body(dispatch: Dispatch, answer: ServerAnswer) -> bytes:
-    try:
-        return answer.read_body()
-    except FailureError as error:
-        raise _unknown(dispatch, error.failure.describe()) from error
-
-
 def _not_run(reason: NotRunReason, proof: ProofKind, detail: str) -> FailureError:
     # The retry hint says that the request may succeed later or elsewhere.
     return FailureError(
--- a/turmericreel/entry/server_events.py
+++ b/turmericreel/entry/server_events.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from turmericreel.entry.answer_buffer import AnswerShare
 from turmericreel.entry.pieces import Finished, Piece, Tokens
 from turmericreel.model.failures import FailureError, FrameBroken
 from turmericreel.model.request import Usage
@@ -50,6 +51,8 @@
     requires_sequence : bool
         Whether the first token must carry the expected number, because nothing else
         says at which token the answer begins.
+    share : AnswerShare or None
+        Counts the bytes of an incomplete event; None sets no joint limit.
 
     Notes
     -----
@@ -64,11 +67,13 @@
         sequence: int = 0,
         n_skip: int = 0,
         requires_sequence: bool = False,
+        share: AnswerShare | None = None,
     ):
         self.chunk_id = chunk_id
         self.sequence = sequence
         self.n_skip = n_skip
         self.requires_sequence = requires_sequence
+        self.share = share
         self.n_received = 0
         self.usage: Usage | None = None
         self.finish_reason: str | None = None
@@ -103,6 +108,8 @@
         self.unparsed = events.pop()
         if len(self.unparsed) > MAX_EVENT_BYTES:
             raise _broken("event too long")
+        if self.share is not None and not self.share.resize(len(self.unparsed)):
+            raise _broken("the buffer is full within an event")
         texts: list[str] = []
         for event in events:
             if self.done:
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -285,18 +285,20 @@
     return FailureError(Interrupted(request_id=request.attempt_id, detail=detail))
 
 
+def is_final(failure: Failure, progress: RequestProgress) -> bool:
+    """Return whether the failure of the last attempt is that of the whole request."""
+    return progress.may_have_run and not isinstance(failure, NotRun)
+
+
 def final_failure(
-    request: ClientRequest, progress: RequestProgress, error: FailureError
+    request: ClientRequest, progress: RequestProgress, failure: Failure
 ) -> FailureError:
-    """Return the failure that is reported to the client after the last attempt.
+    """Return the failure of a request whose last attempt was not run.
 
     It is `NotRun` only if none of the attempts may have run the request.
     """
-    failure = error.failure
     if progress.may_have_run:
-        if isinstance(failure, NotRun):
-            return unknown_outcome_failure(request, failure.describe())
-        return error
+        return unknown_outcome_failure(request, failure.describe())
     return FailureError(
         NotRun(
             reason=failure.reason,
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -6,7 +6,7 @@
 from eliot import log_message
 
 from turmericreel.decisions.windowed_budget import WindowedBudget
-from turmericreel.gateway.answer_buffer import AnswerBuffer
+from turmericreel.entry.answer_buffer import AnswerBuffer
 from turmericreel.gateway.attempt_starter import AttemptStarter
 from turmericreel.gateway.attempts import (
     MIN_SERVER_ERROR_STATUS,
@@ -18,6 +18,7 @@
     RequestProgress,
     final_failure,
     interrupted_failure,
+    is_final,
     unknown_outcome_failure,
 )
 from turmericreel.gateway.client_request import ClientRequest
@@ -34,7 +35,7 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # Of all incomplete answers; a gateway has 128 MB in total.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 EVENT_STREAM = "text/event-stream"
 # Another attempt is not worthwhile with less time left before the deadline.
 MIN_TIME_LEFT_S = 0.03
@@ -97,7 +98,11 @@
                 if not self._may_retry_after(request, progress, error):
                     if progress.fallback is not None:
                         return progress.fallback
-                    raise final_failure(request, progress, error) from error
+                    if is_final(error.failure, progress):
+                        # As its own cause it would form a cycle, which keeps all that
+                        # its traceback refers to until the next garbage collection.
+                        raise
+                    raise final_failure(request, progress, error.failure) from error
                 continue
             if answer.status < MIN_SERVER_ERROR_STATUS or not self._may_retry(
                 request, progress
@@ -176,7 +181,9 @@
         self, request: ClientRequest, server_answer: ForwardedAnswer
     ) -> Answer:
         try:
-            body = server_answer.read_whole_body(MAX_BODY_BYTES, buffer=self.buffer)
+            body = server_answer.read_body(
+                limit_bytes=MAX_BODY_BYTES, buffer=self.buffer
+            )
         except FailureError as error:
             raise unknown_outcome_failure(request, error.failure.describe()) from error
         headers = server_answer.forwarded_headers()
@@ -220,6 +227,7 @@
         resumable = request.route.is_idempotent
         delivered = False
         while True:
+            share = self.buffer.open(on_evicted=server_answer.give_up)
             # A client disconnect does not count as a failure of the server.
             how = AttemptEnd.CANCELLED
             try:
@@ -230,6 +238,8 @@
                 )
                 for block in server_answer.blocks(idle_timeout_s=STREAM_IDLE_TIMEOUT_S):
                     events = splitter.feed(block)
+                    if not share.resize(len(splitter.pending)):
+                        raise EventStreamError("the buffer is full within an event")
                     if events is not None:
                         delivered = True
                         attempt.record_progress()
@@ -248,6 +258,7 @@
                 how = AttemptEnd.BROKEN
                 detail = str(error)
             finally:
+                share.release()
                 attempt.end(how)
             self._record_failure(attempt.server)
             if not delivered:
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -6,7 +6,6 @@
 
 from turmericreel.entry.server_answer import ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection
-from turmericreel.gateway.answer_buffer import AnswerBuffer
 from turmericreel.gateway.client_request import (
     ClientRequest,
     Headers,
@@ -57,6 +56,8 @@
         Whether only the closed connection showed where the answer ends.
     """
 
+    requires_stated_end = False
+
     def __init__(self, *, load: ServerLoad, **options):
         self.load = load
         self.ended_with_connection = False
@@ -95,29 +96,6 @@
             return False
         return not self.states_its_end
 
-    def read_whole_body(self, limit_bytes: int, *, buffer: AnswerBuffer) -> bytes:
-        """Read the rest of the body and return the whole.
-
-        Raises
-        ------
-        FailureError
-            With `PeerUnreachable` when it is incomplete, longer than `limit_bytes`, or
-            too long while the buffer is full.
-        """
-        size = 0
-        try:
-            while not self.parser.message_complete:
-                self._read_block()
-                before, size = size, len(self.parser.body)
-                has_room = buffer.grow(before, size)
-                if size > limit_bytes:
-                    raise self._unreachable(f"body over {limit_bytes} bytes")
-                if not has_room:
-                    raise self._unreachable(f"buffer full at {size} bytes")
-            return bytes(self.parser.body)
-        finally:
-            buffer.release(size)
-
     def forwarded_headers(self) -> Headers:
         """Return the end-to-end headers, which are forwarded to the client."""
         return end_to_end_headers(list(self.parser.items()))
