Let the soak stop gateways under kept connections and change large configurations

Its servers sent no well-formed pages of nobody, no check looked at requests within a planned stop, signals came one at a time, and configurations were small.

Change: servers sign, and at times send a page without id and signature; a success without a signature is a fault; so are more than three requests without an answer within one planned stop, though the process still runs; SIGTERM and SIGHUP come in series, and so do changes of 1,000 routes. Endless answers bear the request's id, so that their bodies are read.

--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -3,13 +3,15 @@
 Processes are killed, paused, stopped and restarted by signals and lose their disks,
 connections to servers are delayed, reset and silenced in one or both directions, and
 servers refuse, fail and break off answers, send errors without running the request,
-send without an end or a length, end under some requests, at times after a whole answer,
-say that they leave, want a pause, take only some requests a second or fall over when
-they refuse too many, and fall silent for a second.  Gateways are cut off from all
-servers.  All coordinators are lost together at times.  The faults overlap, while
-clients, operators and servers continue over persistent connections.  The invariants are
-in `soak_checks` and `soak_traffic`; in addition, requests must succeed again within
-`MAX_RECOVERY_S` of the last fault.
+send pages that are no answers, send without an end or a length, end under some
+requests, at times after a whole answer, say that they leave, want a pause, take only
+some requests a second or fall over when they refuse too many, and fall silent for a
+second. Gateways are cut off from all servers. All coordinators are lost together at
+times. Signals come in series, and so do changes of large configurations. The faults
+overlap, while clients, operators and servers continue over persistent connections, also
+to processes that stop, until they have gone. The invariants are in `soak_checks` and
+`soak_traffic`; in addition, requests must succeed again within `MAX_RECOVERY_S` of the
+last fault.
 
     python -m test_long.routing_soak --seed 7 --duration 60
 """
@@ -39,12 +41,14 @@
     GatewayStates,
     LimitedPeriod,
     QuietPeriod,
+    StopPeriod,
     check_brittle_periods,
     check_ends,
     check_first_tries,
     check_limited_periods,
     check_quiet_periods,
     check_runs,
+    check_stops,
 )
 from test_long.soak_traffic import (
     BRITTLE_SERVICE,
@@ -80,6 +84,10 @@
 # Time within which requests must succeed again after the last fault.
 MAX_RECOVERY_S = 12.0
 RESTART_CHECK_INTERVAL_S = 0.5
+# A stop, with its grace of three seconds.
+MAX_STOP_S = 3.5
+# Of the operator's changes, those that follow a series of large ones.
+SERIES_FRACTION = 0.2
 # Of the faults of servers, the errors that they send without running the request.
 UNRUN_FRACTION = 0.2
 UNRUN_STATUSES = (404, 429, 500, 502, 503)
@@ -113,6 +121,7 @@
     Misbehaviour.ENDLESS,
     Misbehaviour.UNFRAMED,
     Misbehaviour.UNFRAMED_RESET,
+    Misbehaviour.PAGE_OF_NOBODY,
 )
 
 
@@ -170,6 +179,7 @@
         self.n_disk_losses = 0
         self.quiet_periods: list[QuietPeriod] = []
         self.limited_periods: list[LimitedPeriod] = []
+        self.stop_periods: list[StopPeriod] = []
         self.brittle_periods: list[BrittlePeriod] = []
         self.cut_off: set[str] = set()
         self.gateway_history: list[GatewayStates] = []
@@ -221,6 +231,7 @@
             check_ends(self.servers, self.findings)
             check_quiet_periods(self.quiet_periods, len(self.gateways), self.findings)
             check_limited_periods(self.limited_periods, self.findings)
+            check_stops(self.stop_periods, self.findings)
             check_brittle_periods(
                 self.brittle_periods, self.gateway_history, self.findings
             )
@@ -274,6 +285,8 @@
             addresses=self.control, findings=self.findings, rng=self.rng
         )
         while self.running:
+            if self.rng.random() < SERIES_FRACTION:
+                operator.send_series()
             operator.send_next()
             sleep(self.rng.uniform(0.1, 0.5))
         operator.caller.close()
@@ -489,10 +502,17 @@
         process.signal(SIGCONT)
 
     def _stop(self, process: PlatformProcess) -> None:
+        is_ready = process in self.gateways and self._listens(process)
+        began = monotonic()
         process.signal(SIGTERM)
-        stop_deadline = monotonic() + 3.5
-        while process.is_running and monotonic() < stop_deadline:
+        while process.is_running and monotonic() < began + MAX_STOP_S:
+            # Repeated signals change nothing.
+            process.signal(self.rng.choice((SIGTERM, SIGHUP)))
             sleep(0.05)
+        if is_ready:
+            self.stop_periods.append(
+                StopPeriod(gateway=process.host, began=began, ended=monotonic())
+            )
         process.kill()
         process.start()
 
--- a/test_long/soak_checks.py
+++ b/test_long/soak_checks.py
@@ -29,6 +29,10 @@
 # Falls of the brittle servers of one service that are allowed in one period.
 MAX_FALLS = 2
 MAX_FALLS_FRACTION = 0.1
+# Time before the end of a stopping process in which a request may cross its end, and
+# requests that may cross the end of a kept connection before.
+END_OF_STOP_S = 0.6
+MAX_CROSSING_IN_STOP = 3
 # Time after a cut from which first tries count, and that their answers may take.
 CONTACT_S = 3.0
 ANSWER_S = 1.0
@@ -95,6 +99,34 @@
             )
 
 
+@dataclass(frozen=True, kw_only=True)
+class StopPeriod:
+    """Planned stop of a gateway, in seconds on the monotonic clock."""
+
+    gateway: str
+    began: float
+    ended: float
+
+
+def check_stops(periods: Sequence[StopPeriod], findings: Findings) -> None:
+    """Check that a stopping gateway answers all requests until its process ends."""
+    for period in periods:
+        findings.outcomes["planned stops"] += 1
+        left = [
+            tried
+            for tried in findings.first_tries
+            if tried.gateway == period.gateway
+            and period.began < tried.at < period.ended - END_OF_STOP_S
+        ]
+        findings.outcomes["requests within stops"] += len(left)
+        n_unanswered = sum(not tried.is_answered for tried in left)
+        if n_unanswered > MAX_CROSSING_IN_STOP:
+            findings.faults.append(
+                f"{period.gateway} left {n_unanswered} of {len(left)} requests "
+                "without an answer in a stop"
+            )
+
+
 @dataclass(frozen=True, kw_only=True)
 class LimitedPeriod:
     """Time in which a server names a rate, in seconds on the monotonic clock."""
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -28,6 +28,10 @@
 CLIENT_TIMEOUT_S = 5.0
 # Callers on the platform follow this many redirects; the leader may change meanwhile.
 MAX_REDIRECTS = 2
+NO_ANSWER = "no answer"
+# Changes in a series of large configurations, and their additional routes.
+N_LARGE_CHANGES = 8
+N_MORE_ROUTES = 1_000
 OLDER_CONFIGURATION_FRACTION = 0.3
 REFUSAL_STATUSES = (408, 421, 429, 503)
 NETWORK_ERRORS = (OSError, HTTPParseError)
@@ -58,6 +62,7 @@
     at: float
     gateway: str
     is_served: bool
+    is_answered: bool = True
 
 
 @dataclass(kw_only=True)
@@ -95,11 +100,14 @@
     ----------
     answered_id : str or None
         Attempt id in the last answer.
+    signature : str or None
+        Signature of the server in the last answer.
     """
 
     def __init__(self):
         self.clients: dict[str, HTTPClient] = {}
         self.answered_id: str | None = None
+        self.signature: str | None = None
 
     def call(
         self,
@@ -126,6 +134,7 @@
             answer = client.request(method, path, body=body, headers=headers or {})
             data = bytes(answer.read())
             self.answered_id = answer.get(PLATFORM_HEADERS.attempt_id)
+            self.signature = answer.get(PLATFORM_HEADERS.signature)
         except NETWORK_ERRORS:
             self.clients.pop(address).close()
             raise
@@ -163,10 +172,16 @@
         self.caller = Caller()
         self.version = 0
 
-    def send_next(self) -> None:
+    def send_series(self) -> None:
+        """Send configurations of many routes, one right after the other."""
+        for _ in range(N_LARGE_CHANGES):
+            self.send_next(n_more_routes=N_MORE_ROUTES)
+
+    def send_next(self, *, n_more_routes: int = 0) -> None:
         """Send a new configuration, and at times an older one, and read back."""
         self.version += self.rng.randint(1, 3)
-        status, _ = self._call("PUT", configuration(self.version))
+        document = configuration(self.version, n_more_routes=n_more_routes)
+        status, _ = self._call("PUT", document)
         if status == 200:
             self.findings.acknowledged_version = max(
                 self.findings.acknowledged_version, self.version
@@ -257,7 +272,12 @@
         )
         if kind in REQUEST_KINDS:
             self.findings.first_tries.append(
-                FirstTry(at=began, gateway=gateway, is_served=status == "200")
+                FirstTry(
+                    at=began,
+                    gateway=gateway,
+                    is_served=status == "200",
+                    is_answered=status != NO_ANSWER,
+                )
             )
         return status
 
@@ -295,7 +315,7 @@
                 address, "POST", path, body=body, headers=headers
             )
         except NETWORK_ERRORS:
-            return "no answer"
+            return NO_ANSWER
         if self.caller.answered_id != attempt_id:
             self.findings.faults.append(
                 f"{attempt_id} got {status} of {self.caller.answered_id}"
@@ -304,6 +324,8 @@
             self.findings.refused.add(attempt_id)
         if status == 200:
             self._check_body(kind, attempt_id, body)
+            if not self.caller.signature:
+                self.findings.faults.append(f"{attempt_id} got an unsigned success")
         return str(status)
 
     def _check_body(self, kind: str, attempt_id: str, body: bytes) -> None:
@@ -352,8 +374,8 @@
             continue
 
 
-def configuration(version: int) -> bytes:
-    """Return an encoded configuration with one route of each kind."""
+def configuration(version: int, *, n_more_routes: int = 0) -> bytes:
+    """Return an encoded configuration with one route of each kind, and some more."""
 
     def route(name: str, kind: str, **options) -> dict:
         return {
@@ -375,6 +397,7 @@
             route("stream", "streaming", MaxAttempts=3, StreamResume=True),
             route(LIMITED_SERVICE, "safe", MaxAttempts=3, Backend=LIMITED_SERVICE),
             route(BRITTLE_SERVICE, "unsafe", Backend=BRITTLE_SERVICE),
+            *(route(f"more-{n}", "safe") for n in range(n_more_routes)),
         ],
         "Backends": [
             {"Name": name, "HealthCheck": "/h"}
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -53,8 +53,11 @@
     REFUSE_AFTER_RUN = "refuse_after_run"
     ERROR_AS_ANSWER = "error_as_answer"
     ERROR_AS_EVENTS = "error_as_events"
+    PAGE_OF_NOBODY = "page_of_nobody"
 
 
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+PAGE = b"<html><p>It works!</html>\n"
 ERROR_TEXT = b"error: the server failed\n\n"
 ERROR_HEAD = b"HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\n"
 # Parts of a plain answer that is never complete.
@@ -277,6 +280,8 @@
         self.received.append({**environ, "body": body})
         self.received_at.append(monotonic())
         headers = [(self.names.attempt_id, self._header(environ, "attempt_id"))]
+        if self.names.signature:
+            headers.append((self.names.signature, self.server))
         headers += [(self.names.load, "1,0,4"), ("X-Served-By", self.server)]
         if self.is_leaving:
             headers.append((self.names.leaving, "1"))
@@ -366,7 +371,7 @@
         if (is_fatal or fatal_part) and (not is_stream or fault in UNFRAMED_ANSWERS):
             self.end(fatal_part or path)
         if fault is Misbehaviour.ENDLESS:
-            self._send_without_end(environ[SOCKET_KEY])
+            self._send_without_end(environ[SOCKET_KEY], headers)
         if fault in UNFRAMED_ANSWERS:
             self._send_unframed(
                 environ, fault, headers, is_stream=is_stream, after=int(last_event or 0)
@@ -382,6 +387,9 @@
             # An earlier refusal, which does not name this request.
             start_response("503 Full", [(self.names.not_run, "1")])
             return [b"full"]
+        if fault is Misbehaviour.PAGE_OF_NOBODY:
+            start_response("200 OK", [("Content-Type", "text/html")])
+            return [PAGE]
         if fault is Misbehaviour.ERROR_AS_ANSWER:
             start_response("200 OK", [*headers, ("Content-Type", "text/plain")])
             return [ERROR_TEXT]
@@ -430,7 +438,7 @@
             sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
         raise BrokenPipeError(errno.EPIPE, "answer ended with its connection")
 
-    def _send_without_end(self, sock) -> None:
+    def _send_without_end(self, sock, headers: list) -> None:
         """Send bytes until the client closes the connection.
 
         Raises
@@ -438,8 +446,9 @@
         BrokenPipeError
         """
         part = next(self.endless_parts)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers).encode()
         try:
-            sock.sendall(part.start)
+            sock.sendall(part.start.replace(STATUS_LINE, STATUS_LINE + lines))
             while True:
                 sock.sendall(part.block)
         except OSError as error:
