Bound the doublings of a failing server's pause

Cause: the pause after a failure is 2 to the number of failures in a row, which no float can hold after 1,024 of them, so that the next failure raised OverflowError instead of being recorded.

Change: at most ten doublings, which is beyond the longest pause already. Result: the new test fails on the old code with OverflowError.

--- a/test/routing/test_small_decisions.py
+++ b/test/routing/test_small_decisions.py
@@ -269,3 +269,11 @@
     assert work.pending_ms("s1") == 200.0
     work.receive_total({})
     assert work.pending_ms("s1") == 0.0
+
+
+def test_server_that_fails_very_often_is_still_only_paused():
+    # Guards against a pause that no float can hold after 1,024 failures in a row.
+    loads = ServerLoads()
+    for _ in range(1_100):
+        loads.record_failure("s1", now=0.0)
+    assert 0.0 < loads.of("s1").pause_deadline <= MAX_PAUSE_S
--- a/turmericreel/gateway/server_loads.py
+++ b/turmericreel/gateway/server_loads.py
@@ -15,6 +15,8 @@
 # A failing server is paused; the pause doubles with each consecutive failure.
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 4.0
+# More of them exceed the longest pause, and at last what a float can hold.
+MAX_DOUBLINGS = 10
 # Coordinators repeat the list of suspended servers several times a second.
 SUSPENSION_VALID_S = 2.0
 
@@ -157,7 +159,8 @@
         counted = self.outcomes.get(server, ServerOutcomes())
         self.outcomes[server] = replace(counted, n_failed=counted.n_failed + 1)
         load = self.of(server)
-        pause_s = min(FIRST_PAUSE_S * 2**load.n_failures, MAX_PAUSE_S)
+        n_doublings = min(load.n_failures, MAX_DOUBLINGS)
+        pause_s = min(FIRST_PAUSE_S * 2**n_doublings, MAX_PAUSE_S)
         load.n_failures += 1
         load.pause_deadline = now + pause_s
 
