Bound the kept revisions of the operators' text by their size

Change: the newest revisions up to 8 million characters, and source texts up to 4 million; the newest is always kept. A missing base only costs a whole text in place of edits.

--- a/test/raft/test_log_size.py
+++ b/test/raft/test_log_size.py
@@ -6,6 +6,11 @@
 from gevent.event import AsyncResult
 
 from test.raft.small_group import SmallGroup, other_instances
+from turmericreel.coordination.control_view import (
+    MAX_SOURCE_CHARACTERS,
+    ControlView,
+    UpdateResult,
+)
 from turmericreel.coordination.raft.member import (
     MAX_UNCOVERED_FACTOR,
     MIN_KEPT_BYTES,
@@ -17,13 +22,15 @@
     MAX_IN_FLIGHT_BYTES,
 )
 from turmericreel.coordination.raft.transport import MAX_QUEUED_BYTES, PeerLink
-from turmericreel.model.ids import InstanceId, Revision
+from turmericreel.model.ids import FencingToken, InstanceId, Revision, SubmissionId
+from turmericreel.protocols.control_messages import ConfigurationPush
 from turmericreel.protocols.raft_messages import (
     Append,
     RaftHello,
     SnapshotChunk,
     size_of_message,
 )
+from turmericreel.state.commands.configuration import SubmitText
 from turmericreel.state.routing_machine import (
     RoutingCommand,
     RoutingMachine,
@@ -31,6 +38,7 @@
 )
 from turmericreel.state.storage.entries import SnapshotMeta, member_id
 from turmericreel.state.storage.segments import SEGMENT_LIMIT_BYTES
+from turmericreel.state.tables.configuration import MAX_HISTORY_CHARACTERS
 from turmericreel.util.bounded_queue import BoundedQueue
 
 DOCUMENT_BYTES = 200_000
@@ -176,3 +184,37 @@
         assert 0 < link.queue.n_bytes <= MAX_QUEUED_BYTES
     finally:
         link.stop()
+
+
+def test_history_of_large_texts_is_limited_by_its_size():
+    # Guards against 64 revisions of two megabytes each in memory and in snapshots.
+    group = SmallGroup(names=("a",), seed=45)
+    group.wait_for_leader()
+    text = "# " + "x" * 1_000_000
+    for base in range(12):
+        command = SubmitText(
+            submission=SubmissionId(str(base)), base_revision=Revision(base), text=text
+        )
+        done = group.propose("a", command)
+        group.run_until(done.ready, what="an answer")
+        assert done.get().revision == base + 1
+    configuration = group.nodes["a"].member.machine.configuration
+    n_characters = sum(len(revision.text) for revision in configuration.history)
+    assert 0 < n_characters <= MAX_HISTORY_CHARACTERS
+    assert configuration.revision == 12
+    assert configuration.text_of(Revision(12)) == text
+    assert configuration.text_of(Revision(1)) is None
+
+
+def test_source_texts_of_a_view_are_limited_by_their_size():
+    # Guards against 16 texts of two megabytes each at every instance.
+    view = ControlView(parses_texts=False)
+    for revision in range(1, 13):
+        push = ConfigurationPush(
+            revision=Revision(revision),
+            text="x" * 1_000_000,
+            fencing_token=FencingToken(1),
+        )
+        assert view.apply_text(push) is UpdateResult.APPLIED
+    assert sum(map(len, view.source_texts.values())) <= MAX_SOURCE_CHARACTERS
+    assert max(view.source_texts) == 12
--- a/turmericreel/coordination/control_view.py
+++ b/turmericreel/coordination/control_view.py
@@ -29,6 +29,8 @@
 from turmericreel.util.text_edits import apply_edits, text_checksum
 
 MAX_SOURCE_TEXTS = 16
+# Of all source texts; a missing base only costs a whole text in place of edits.
+MAX_SOURCE_CHARACTERS = 4 * 1024 * 1024
 
 
 class UpdateResult(Enum):
@@ -106,10 +108,17 @@
         self.fencing_token = message.fencing_token
         self.revision = message.revision
         self.source_texts[message.revision] = text
-        while len(self.source_texts) > MAX_SOURCE_TEXTS:
-            del self.source_texts[min(self.source_texts)]
+        self._drop_oldest_source_texts()
         return UpdateResult.APPLIED
 
+    def _drop_oldest_source_texts(self) -> None:
+        while len(self.source_texts) > 1:
+            n_characters = sum(map(len, self.source_texts.values()))
+            is_small = n_characters <= MAX_SOURCE_CHARACTERS
+            if is_small and len(self.source_texts) <= MAX_SOURCE_TEXTS:
+                return
+            del self.source_texts[min(self.source_texts)]
+
     def apply_servers(self, message: ServersPush) -> UpdateResult:
         """Apply a registry push; `GAP` if it does not follow the last one applied."""
         if message.index < self.servers_index:
--- a/turmericreel/state/tables/configuration.py
+++ b/turmericreel/state/tables/configuration.py
@@ -19,6 +19,8 @@
 from turmericreel.util.text_edits import apply_edits, text_checksum
 
 MAX_REVISIONS = 64
+# Of all stored texts; the newest is stored whatever its size.
+MAX_HISTORY_CHARACTERS = 8 * 1024 * 1024
 MAX_SUBMISSION_ANSWERS = 100_000
 
 
@@ -42,7 +44,8 @@
     Attributes
     ----------
     history : list of TextRevision
-        Newest `MAX_REVISIONS` revisions, oldest first.
+        Newest revisions, oldest first: `MAX_REVISIONS` and `MAX_HISTORY_CHARACTERS`
+        at most.
     answers : dict of SubmissionId to Result
         Answers to the newest `MAX_SUBMISSION_ANSWERS` submissions, for resends.
     """
@@ -101,9 +104,15 @@
             time_ms=record.time_ms,
         )
         self.history.append(accepted)
-        del self.history[:-MAX_REVISIONS]
+        self._drop_oldest()
         return Submitted(revision=accepted.revision)
 
+    def _drop_oldest(self) -> None:
+        del self.history[:-MAX_REVISIONS]
+        n_characters = sum(len(revision.text) for revision in self.history)
+        while n_characters > MAX_HISTORY_CHARACTERS and len(self.history) > 1:
+            n_characters -= len(self.history.pop(0).text)
+
     def _submitted_text(self, command: SubmitText | SubmitEdits) -> str:
         if isinstance(command, SubmitText):
             return command.text
