Take late in a stop only requests that certainly end in time

What it takes by an estimate of earlier durations may last longer than all of them, and the later it is taken, the more likely it is cut at the stop's deadline.

Change: once the lists have expired by their own terms, a request is taken only if its own deadline is before the stop's; others are refused at once and run at another gateway.

--- a/test/routing/test_late_requests_at_a_stop.py
+++ b/test/routing/test_late_requests_at_a_stop.py
@@ -129,6 +129,38 @@
     assert not admission.may_take("other", deadline=10.0, now=0.0)
 
 
+def test_what_only_likely_ends_is_refused_once_lists_have_expired():
+    # Guards against a long stream that is taken late and cut at the stop deadline.
+    admission = StopAdmission()
+    for _ in range(MIN_SAMPLES):
+        admission.record("r", 1.0)
+    admission.deadline, admission.certain_from = 8.0, 1.5
+    assert admission.may_take("r", deadline=20.0, now=1.4)
+    assert not admission.may_take("r", deadline=20.0, now=1.6)
+    assert admission.may_take("r", deadline=3.1, now=1.6)
+
+
+def test_stop_takes_from_clients_with_expired_lists_what_certainly_ends(tmp_path):
+    # Guards against the same in a running gateway.
+    with small_system(tmp_path) as system:
+        system.submit(
+            make_route("/safe/", timeout_ms=200), stream_route(timeout_ms=10_000)
+        )
+        system.add_server("s1")
+        gateway = system.gateways[0]
+        gateway.settings = replace(
+            gateway.settings, list_validity_ms=500, stop_deadline_ms=6_000
+        )
+        accept = {"Accept": "text/event-stream"}
+        for number in range(MIN_SAMPLES):
+            system.call(f"/stream/{number}", method="POST", body=b"x", **accept)
+        stopping = spawn(gateway.stop)
+        sleep(0.6)
+        assert system.call("/safe/1")[0] == 200
+        assert system.call("/stream/late", method="POST", body=b"x", **accept)[0] == 503
+        stopping.join()
+
+
 def test_routes_that_come_and_go_cost_bounded_memory():
     admission = StopAdmission()
     for number in range(MAX_KINDS + 10):
--- a/turmericreel/decisions/stop_admission.py
+++ b/turmericreel/decisions/stop_admission.py
@@ -25,12 +25,16 @@
     ----------
     deadline : float
         Stop deadline in seconds on the monotonic clock; infinite until a stop begins.
+    certain_from : float
+        When to begin to take only what certainly ends in time, in seconds on the
+        monotonic clock.
     durations : dict of key to deque of float
         In seconds, by kind of request, such as its route.
     """
 
     def __init__(self):
         self.deadline = inf
+        self.certain_from = inf
         self.durations: dict[Hashable, deque[float]] = defaultdict(
             lambda: deque(maxlen=N_SAMPLES)
         )
@@ -55,6 +59,8 @@
         """
         if deadline <= self.deadline:
             return True
+        if now >= self.certain_from:
+            return False
         known = self.durations.get(kind, ())
         if len(known) < MIN_SAMPLES:
             return False
--- a/turmericreel/gateway/graceful_stop.py
+++ b/turmericreel/gateway/graceful_stop.py
@@ -1,8 +1,8 @@
 """Stops a gateway gracefully: clients move to other gateways, and answers end whole.
 
-The gateway leaves the address lists at once.  It serves clients until all lists that
-name it have expired, and refuses them from then on while requests still run.  Clients
-are never left without an answer: the listener accepts until the end.
+The gateway leaves the address lists at once.  It serves clients until the slowest use
+no list that names it any more, and refuses them from then on while requests still run.
+Clients are never left without an answer: the listener accepts until the end.
 """
 
 from eliot import log_message
@@ -43,8 +43,10 @@
     ----------
     deadline : float
         When requests that still run are cut off, in seconds on the monotonic clock.
+    expired_at : float
+        When the address lists with the gateway have expired by their own terms.
     delisted_at : float
-        When the last address lists with the gateway have expired.
+        When the slowest clients use none of them any more.
     """
 
     def __init__(
@@ -66,8 +68,11 @@
         self.clock = clock
         now = clock.monotonic()
         self.deadline = now + settings.stop_deadline_ms / 1_000 - STOP_MARGIN_S
-        listed_for_s = settings.list_validity_ms / 1_000 * ADDRESS_LIST_VALIDITY_FACTOR
-        self.delisted_at = min(now + listed_for_s, self.deadline)
+        list_validity_s = settings.list_validity_ms / 1_000
+        self.expired_at = now + list_validity_s
+        self.delisted_at = min(
+            now + list_validity_s * ADDRESS_LIST_VALIDITY_FACTOR, self.deadline
+        )
 
     def run(self) -> None:
         """Stop, and return when the process may exit."""
@@ -85,6 +90,8 @@
         log_message("gateway:stopping", n_running=self.application.n_running)
         self.application.stopping = True
         self.application.admission.deadline = self.deadline - STOP_ANSWER_S
+        # Later clients have newer lists to go by, so that nothing need be risked.
+        self.application.admission.certain_from = self.expired_at
         self.links.report_now()
         self.relays.stop_accepting()
 
