Never pass on an impossible answer, nor the status of bytes that follow one

Cause: the parser takes any three digits for a status, so 600 and 999 passed as answers and 000 and 099 were read until the deadline, as interim ones. Its code is that of the last head that it saw, also after the end of the answer: a 404 followed by the head of a 200 in the same block reached the client as a success, and a whole answer followed by an interim or a cut head was waited for until the deadline. A relay that noticed a reset while sending the upload read an end of stream next, and passed it on as a regular close, which makes the part of an answer without a length a whole one.

Change: a status outside 100 to 599, or a version other than HTTP/1.0 and 1.1, is malformed, at both doors, at once: 502, outcome unknown. The status is kept with the head of the answer. A relay whose sending failed reports a reset. On a kept connection only a connection that was lost without a byte counts as idle too long, so that such servers count as failed.

--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterator
 
 from gevent import get_hub
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPProtocolViolationError,
+    HTTPResponse,
+)
 
 from turmericreel.entry.answer_buffer import AnswerBuffer
 from turmericreel.entry.server_connections import ServerConnection
@@ -12,13 +16,26 @@
 
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
+MIN_STATUS = 100
+# Lower ones are those of interim answers.
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+VERSIONS = ("HTTP/1.1", "HTTP/1.0")
 
 
 class _ResponseParser(HTTPResponse):
-    """Parses one answer; extra bytes after its end are discarded and flagged."""
+    """Parses one answer; extra bytes after its end are discarded and flagged.
+
+    Attributes
+    ----------
+    status : int
+        Status of the latest head that was read completely; 0 before.  The parser's own
+        code changes with bytes that follow the answer.
+    """
 
     def __init__(self, *, method: str):
         super().__init__(method=method)
+        self.status = 0
         self.body = bytearray()
         self.n_body_bytes = 0
         self.has_extra_bytes = False
@@ -29,6 +46,24 @@
             return
         super()._on_message_begin()
 
+    def _on_status(self, msg: str) -> None:
+        if not self.has_extra_bytes:
+            super()._on_status(msg)
+
+    def _on_headers_complete(self) -> int | bool | None:
+        if not self.has_extra_bytes:
+            self._check_status_line()
+            self.status = self.get_code()
+        return super()._on_headers_complete()
+
+    def _check_status_line(self) -> None:
+        """Raise `HTTPProtocolViolationError` if no answer has this status line."""
+        status, version = self.get_code(), self.get_http_version()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise HTTPProtocolViolationError(f"status {status:03}")
+        if version not in VERSIONS:
+            raise HTTPProtocolViolationError(f"version {version}")
+
     def _on_body(self, buf: bytes) -> None:
         if not self.has_extra_bytes:
             self.body += buf
@@ -41,7 +76,7 @@
     @property
     def is_final(self) -> bool:
         """Whether an answer other than an interim one is complete."""
-        return self.message_complete and self.get_code() >= 200
+        return self.message_complete and self.status >= MIN_FINAL_STATUS
 
 
 class ServerAnswer:
@@ -101,7 +136,12 @@
     @property
     def status(self) -> int:
         """HTTP status code."""
-        return self.parser.get_code()
+        return self.parser.status
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether bytes of an answer arrived."""
+        return self.parser.message_begun
 
     @property
     def connection_lost(self) -> bool:
@@ -137,7 +177,7 @@
         FailureError
             With `PeerUnreachable` when it is malformed, too long or incomplete.
         """
-        while not self.parser.headers_complete or self.status < 200:
+        while not self.parser.headers_complete or self.status < MIN_FINAL_STATUS:
             self._read_block()
 
     def blocks(self, *, idle_timeout_s: float) -> Iterator[bytes]:
--- a/turmericreel/gateway/relay_listener.py
+++ b/turmericreel/gateway/relay_listener.py
@@ -165,10 +165,11 @@
     def _relay(self, caller: socket, server: socket) -> None:
         """Pass bytes on in both directions until either end closes."""
         caller.settimeout(None)
-        backward = spawn(_pass_back, server, caller)
+        direction = _ServerBytes(server=server, caller=caller)
+        backward = spawn(direction.pass_back)
         with contextlib.suppress(OSError):
             while block := caller.recv(BLOCK_BYTES):
-                server.sendall(block)
+                direction.send(block)
         # Also wakes the other direction.
         _shut_down(server)
         backward.join()
@@ -187,18 +188,46 @@
     return RelayFailed(obstacle=obstacle, detail=detail)
 
 
-def _pass_back(server: socket, caller: socket) -> None:
-    """Pass the server's bytes on in blocks, and then how its connection ended."""
-    try:
-        while block := server.recv(BLOCK_BYTES):
-            caller.sendall(BLOCK_LENGTH.pack(len(block)) + block)
-        end = CLOSED
-    except OSError:
-        end = RESET
-    with contextlib.suppress(OSError):
-        caller.sendall(BLOCK_LENGTH.pack(end))
-    # Also wakes the other direction.
-    _shut_down(caller)
+class _ServerBytes:
+    """Passes the bytes of a server back to the gateway that asked for the connection.
+
+    Attributes
+    ----------
+    is_broken : bool
+        Whether sending to the server failed.  The operating system reports a reset
+        once only, so that reading then ends as if the server had closed the connection.
+    """
+
+    def __init__(self, *, server: socket, caller: socket):
+        self.server = server
+        self.caller = caller
+        self.is_broken = False
+
+    def send(self, block: bytes) -> None:
+        """Send bytes to the server.
+
+        Raises
+        ------
+        OSError
+        """
+        try:
+            self.server.sendall(block)
+        except OSError:
+            self.is_broken = True
+            raise
+
+    def pass_back(self) -> None:
+        """Pass the server's bytes on in blocks, and then how its connection ended."""
+        try:
+            while block := self.server.recv(BLOCK_BYTES):
+                self.caller.sendall(BLOCK_LENGTH.pack(len(block)) + block)
+            end = RESET if self.is_broken else CLOSED
+        except OSError:
+            end = RESET
+        with contextlib.suppress(OSError):
+            self.caller.sendall(BLOCK_LENGTH.pack(end))
+        # Also wakes the other direction.
+        _shut_down(self.caller)
 
 
 def _shut_down(sock: socket) -> None:
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -4,7 +4,7 @@
 
 from eliot import log_message
 
-from turmericreel.entry.server_answer import ServerAnswer
+from turmericreel.entry.server_answer import MIN_FINAL_STATUS, ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection
 from turmericreel.gateway.client_request import (
     ClientRequest,
@@ -34,8 +34,6 @@
 # arrive.
 KEEP_ALIVE_MARGIN_S = 0.5
 MIN_TIME_LEFT_MS = 1
-# Lower ones are those of interim answers.
-MIN_FINAL_STATUS = 200
 
 
 class ForwardedAnswer(ServerAnswer):
@@ -209,9 +207,11 @@
             self.answer.read_header()
         except FailureError as error:
             # The server may have closed a reused connection for being idle too long,
-            # which is no failure of the server.
+            # which is no failure of the server; bytes that are no answer are one.
             self.used_stale_connection = (
-                self.connection.was_idle and not self.answer.timed_out
+                self.connection.was_idle
+                and self.answer.connection_lost
+                and not self.answer.has_begun
             )
             if self.used_stale_connection:
                 self.connections.close_idle(self.connection.address)
