Evacuate data centres by order of the operator

An operator's order that nothing more be sent to the servers of a data centre was answered 404. It is now a command of the replicated routing machine, so that it is acknowledged once it is durable at a quorum; coordinators send the newest order on each data centre to gateways, before the servers and on each change, and a gateway keeps it in force without them. ServerChooser leaves the servers of evacuated data centres out for every attempt, and chooses again if the order came while a request waited for a place; relays lead to none, and paths to them are checked only for requests that run there. Where nothing is left, requests are refused at once as not run.

--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -101,6 +101,7 @@
         self.incarnations: dict[str, int] = {}
         self.sequence = 0
         self.n_slots = 4
+        self.data_centres: dict[str, str] = {}
 
     def start_coordinator(
         self,
@@ -182,8 +183,11 @@
             f"revision {revision} at all gateways",
         )
 
-    def add_server(self, name: str, *, version: str = "v1", **options) -> RoutedServer:
+    def add_server(
+        self, name: str, *, version: str = "v1", data_centre: str = "a", **options
+    ) -> RoutedServer:
         """Start a fake server and register it, and again after each restart."""
+        self.data_centres[name] = data_centre
         server = RoutedServer(server=name, names=self.names, **options)
         server.start()
         self.servers[name] = server
@@ -210,7 +214,7 @@
                 server=name,
                 service=SERVICE,
                 address=self.servers[name].address,
-                data_centre="a",
+                data_centre=self.data_centres.get(name, "a"),
                 version=version,
                 n_slots=self.n_slots,
                 state=state,
--- a/test/routing/test_routing_machine.py
+++ b/test/routing/test_routing_machine.py
@@ -1,5 +1,6 @@
 """The highest revision is in force, and repeated orders change nothing."""
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -8,6 +9,7 @@
 from turmericreel.state.commands.union import LogRecord
 from turmericreel.state.routing_machine import (
     MoveRollout,
+    OrderEvacuation,
     OrderRollout,
     RoutingMachine,
     SubmitRouting,
@@ -88,12 +90,50 @@
     assert machine.rollouts[SERVICE].canary_share == 0.03
 
 
+def evacuate(machine, data_centre, is_evacuated=True):
+    command = OrderEvacuation(data_centre=data_centre, is_evacuated=is_evacuated)
+    return apply(machine, command)
+
+
+@given(st.lists(st.tuples(st.sampled_from("ab"), st.booleans()), max_size=12))
+def test_the_newest_order_on_each_data_centre_holds_and_repeats_change_nothing(orders):
+    machine = RoutingMachine()
+    expected = {}
+    for index, (data_centre, is_evacuated) in enumerate(orders, start=1):
+        changes = is_evacuated != expected.get(data_centre, (False, 0))[0]
+        assert evacuate(machine, data_centre, is_evacuated) == changes
+        if changes:
+            expected[data_centre] = (is_evacuated, index)
+        held = {
+            name: (e.is_evacuated, e.number) for name, e in machine.evacuations.items()
+        }
+        assert held == expected
+
+
+def test_snapshot_of_a_build_without_evacuations_is_loaded():
+    machine = RoutingMachine()
+    submit(machine, 3, b"document")
+    older = msgspec.msgpack.decode(machine.dump())
+    del older["evacuations"]
+    copy = RoutingMachine()
+    evacuate(copy, "a")
+    copy.load(msgspec.msgpack.encode(older))
+    assert (copy.revision, copy.evacuations) == (3, {})
+
+
 def test_a_snapshot_holds_everything():
     machine = RoutingMachine()
     submit(machine, 3, b"document")
     order(machine)
+    evacuate(machine, "a")
+    evacuate(machine, "b")
+    evacuate(machine, "a", False)
     copy = RoutingMachine()
     copy.load(machine.dump())
     assert copy.dump() == machine.dump()
     assert copy.document == b"document"
-    assert copy.applied_index == 2
+    assert {n: e.is_evacuated for n, e in copy.evacuations.items()} == {
+        "a": False,
+        "b": True,
+    }
+    assert copy.applied_index == 5
--- a/test/routing/test_spread_cache.py
+++ b/test/routing/test_spread_cache.py
@@ -4,6 +4,7 @@
 
 from test.routing.library import make_server
 from turmericreel.membership.server_registry import ServerRegistry
+from turmericreel.model.evacuation import Evacuation
 from turmericreel.state.routing_state_cache import (
     FILE_NAME,
     RoutingState,
@@ -11,7 +12,12 @@
 )
 from turmericreel.state.storage.disk import FolderDisk
 
-STATE = RoutingState(revision=3, document=b"text", servers=(make_server(),))
+STATE = RoutingState(
+    revision=3,
+    document=b"text",
+    servers=(make_server(),),
+    evacuations=(Evacuation(data_centre="a", number=7, is_evacuated=True),),
+)
 
 
 def make_cache(folder):
--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -1,6 +1,6 @@
 """Builds and runs the tasks of one coordinator, and handles calls to it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from random import SystemRandom
 
@@ -13,6 +13,7 @@
     DiscoveringTransport,
     PeerListener,
 )
+from turmericreel.coordinator.evacuation_orders import EvacuationOrders
 from turmericreel.coordinator.hub import Hub
 from turmericreel.coordinator.rollout_task import RolloutTask
 from turmericreel.coordinator.sessions import PeerSession, SessionListener
@@ -27,7 +28,13 @@
     NotLeader,
     QueryInvalid,
 )
-from turmericreel.model.ids import BackendServerId, InstanceId, ServiceName, VersionId
+from turmericreel.model.ids import (
+    BackendServerId,
+    DataCentreId,
+    InstanceId,
+    ServiceName,
+    VersionId,
+)
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
 from turmericreel.model.routing_codec import RoutingCodec
@@ -37,6 +44,7 @@
 from turmericreel.state.commands.base import Done
 from turmericreel.state.commands.union import LogRecord
 from turmericreel.state.routing_machine import (
+    OrderEvacuation,
     OrderRollout,
     RecordUsage,
     RoutingCommand,
@@ -84,6 +92,8 @@
     settings : CoordinatorSettings
     seeds : callable
         Returns the coordinators that the current settings name as seeds.
+    data_centres : callable
+        Returns the data centres that the current settings name; empty if unknown.
     codec : RoutingCodec
     clock : Clock
     on_failure : callable
@@ -98,6 +108,7 @@
         codec: RoutingCodec,
         clock: Clock,
         on_failure: Callable[[Failure], None],
+        data_centres: Callable[[], Collection[DataCentreId]] = tuple,
     ):
         self.settings = settings
         self.codec = codec
@@ -150,6 +161,9 @@
             ),
             clock=clock,
         )
+        self.evacuations = EvacuationOrders(
+            log=self.log, hub=self.hub, data_centres=data_centres
+        )
         self.usage = UsageTask(log=self.log, hub=self.hub)
         self.listener = SessionListener(
             address=parse_address(f"{host}:{settings.internal_port}"),
@@ -339,6 +353,15 @@
         if isinstance(record.command, SubmitRouting):
             self.hub.mark_routing_changed()
             return
+        if isinstance(record.command, OrderEvacuation):
+            log_message(
+                "coordinator:evacuation",
+                data_centre=record.command.data_centre,
+                is_evacuated=record.command.is_evacuated,
+                number=record.index,
+            )
+            self.hub.mark_evacuations_changed()
+            return
         self.hub.mark_rollouts_changed()
 
     def _distribute_changes(self) -> None:
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -15,12 +15,19 @@
 
 from turmericreel.coordinator.crash_records import CrashRecords
 from turmericreel.coordinator.place_distributor import PlaceDistributor, newest_reports
+from turmericreel.decisions.evacuation import EvacuatedDataCentres
 from turmericreel.decisions.rate_grants import RateGrants
 from turmericreel.decisions.server_health import ServerHealth
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.brittle_service import BrittleReport
-from turmericreel.model.ids import BackendServerId, InstanceId, Revision
+from turmericreel.model.evacuation import Evacuation
+from turmericreel.model.ids import (
+    BackendServerId,
+    DataCentreId,
+    InstanceId,
+    Revision,
+)
 from turmericreel.model.place_report import PlaceReport
 from turmericreel.model.registered_server import RegisteredServer
 from turmericreel.model.routing import Rollout
@@ -30,6 +37,7 @@
 from turmericreel.model.version_evidence import VersionEvidence
 from turmericreel.protocols.routing_messages import (
     Beat,
+    Evacuations,
     Gateways,
     GatewayStatus,
     GatewayWork,
@@ -115,9 +123,11 @@
         self.work_sent = False
         self.routing_pending = False
         self.rollouts_pending = False
+        self.evacuations_pending = False
         self.compressed: RoutingDocument | None = None
         self.sent_revision = Revision(0)
         self.sent_rollouts: tuple[Rollout, ...] = ()
+        self.sent_evacuations: tuple[Evacuation, ...] = ()
 
     def restore(self, state: RoutingState, *, expiry_s: float) -> None:
         """Distribute the state cached before a restart until newer state is known.
@@ -152,6 +162,7 @@
             rollouts=self._rollouts().rollouts,
             servers=tuple(self.registry.servers.values()),
             crashes=self.crashes.saved(),
+            evacuations=self._evacuations().evacuations,
         )
 
     def record_heartbeat(self, reported: RegisteredServer) -> None:
@@ -300,12 +311,19 @@
         self.rollouts_pending = True
         self.changed.set()
 
+    def mark_evacuations_changed(self) -> None:
+        """Schedule sending the changed evacuations to gateways."""
+        self.evacuations_pending = True
+        self.changed.set()
+
     def mark_unsent_changes(self) -> None:
         """Schedule sending what a snapshot changed, which the log does not report."""
         if self._routing_source().revision != self.sent_revision:
             self.mark_routing_changed()
         if self._rollouts().rollouts != self.sent_rollouts:
             self.mark_rollouts_changed()
+        if self._evacuations().evacuations != self.sent_evacuations:
+            self.mark_evacuations_changed()
 
     def distribute_changes(self) -> None:
         """Send pending changes; of several to the same item, only the last is sent."""
@@ -320,6 +338,11 @@
             rollouts = self._rollouts()
             self.sent_rollouts = rollouts.rollouts
             self._send_to_gateways(rollouts)
+        if self.evacuations_pending:
+            self.evacuations_pending = False
+            evacuations = self._evacuations()
+            self.sent_evacuations = evacuations.evacuations
+            self._send_to_gateways(evacuations)
         if self.changed_own_gateways:
             message = _gateway_changes(self.changed_own_gateways, self._own_gateway)
             self.changed_own_gateways = set()
@@ -342,6 +365,14 @@
             instances |= set(known)
         return instances
 
+    def data_centres_in_use(self) -> set[DataCentreId]:
+        """Return the data centres of the known servers and gateways."""
+        used = {server.data_centre for server in self.registry.servers.values()}
+        gateways = [entry.status.gateway for entry in self.gateways.values()]
+        for known in self.gateways_of_peers.values():
+            gateways += known.values()
+        return used | {gateway.data_centre for gateway in gateways}
+
     def evidence(self) -> list[VersionEvidence]:
         """Return the evidence from all gateways connected to this coordinator."""
         entries = self.gateways.values()
@@ -443,6 +474,10 @@
             messages.append(self._routing())
         # Without the roll-outs, a gateway would send requests to unproven versions.
         messages.append(self._rollouts())
+        # Without them, it would send requests to servers of evacuated data centres.
+        evacuations = self._evacuations()
+        if evacuations.evacuations:
+            messages.append(evacuations)
         # Without the limits, it would send requests to servers that take only a few.
         self._drop_unregistered_limits()
         limits = self.rates.known_limits(now=self.now())
@@ -484,6 +519,13 @@
                 newest[rollout.service] = rollout
         return Rollouts(rollouts=tuple(newest.values()))
 
+    def _evacuations(self) -> Evacuations:
+        newest = EvacuatedDataCentres()
+        newest.receive(self.restored.evacuations)
+        if not self._is_replaying():
+            newest.receive(self.machine.evacuations.values())
+        return Evacuations(evacuations=tuple(newest.orders.values()))
+
     def _newest_gateway(self, instance: InstanceId) -> GatewayInstance | None:
         """Return the newest state of a gateway received by any coordinator."""
         received = [
--- a/turmericreel/coordinator/metrics.py
+++ b/turmericreel/coordinator/metrics.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
 from turmericreel.state.routing_machine import RoutingMachine
@@ -36,3 +36,26 @@
                 values = [str(getattr(key, label)) for label in LABELS]
                 family.add_metric(values, getattr(amounts, name))
             yield family
+
+
+class EvacuationCollector(Collector):
+    """Evacuated data centres, as applied by this coordinator.
+
+    Parameters
+    ----------
+    machine : RoutingMachine
+    """
+
+    def __init__(self, *, machine: RoutingMachine):
+        self.machine = machine
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield one gauge for each data centre that was ever evacuated."""
+        family = GaugeMetricFamily(
+            "turmericreel_coordinator_evacuated",
+            "1 while a data centre is evacuated, and 0 once that was withdrawn.",
+            labels=["data_centre"],
+        )
+        for evacuation in self.machine.evacuations.values():
+            family.add_metric([evacuation.data_centre], evacuation.is_evacuated)
+        yield family
--- a/turmericreel/gateway/brittle_servers.py
+++ b/turmericreel/gateway/brittle_servers.py
@@ -315,7 +315,8 @@
         if ready:
             return ready
         wait_s = self._expected_wait_s(service)
-        has_place = any(self._own_places(service).values())
+        own = self._own_places(service)
+        has_place = any(own.get(server.server, 0) for server in servers)
         if not has_place or self.clock.monotonic() + wait_s > deadline:
             raise self._refusal(request, wait_s, service)
         waiter = Waiter(priority=request.priority, number=next(self.numbers))
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -40,7 +40,7 @@
     Incarnation,
     InstanceId,
 )
-from turmericreel.model.registered_server import ServerState
+from turmericreel.model.registered_server import RegisteredServer, ServerState
 from turmericreel.model.routing import ClientLimits, RolloutStage
 from turmericreel.model.routing_codec import RoutingCodec
 from turmericreel.model.routing_settings import GatewaySettings, internal_address
@@ -143,15 +143,14 @@
             address=Address(host=own_address.host, port=settings.relay_port),
             gateways=lambda: self.view.gateways,
             is_registered=self._is_registered,
+            is_evacuated=self._is_evacuated,
             paths=paths,
             clock=clock,
         )
         self.path_checks = PathChecks(
             connections=self.connections,
             loads=self.chooser.loads,
-            servers=lambda: [
-                s for servers in self.view.by_service.values() for s in servers
-            ],
+            servers=self._servers_to_reach,
             clock=clock,
             rng=rng,
         )
@@ -190,6 +189,8 @@
             n_quarantined=self.guard.n_quarantined,
             n_suspended=lambda: self.chooser.loads.n_suspended(now=clock.monotonic()),
             n_unavailable=self.chooser.n_unavailable,
+            n_evacuated=self.chooser.n_evacuated,
+            n_refused_by_evacuation=lambda: self.chooser.n_refused_by_evacuation,
             n_rate_limited=self.chooser.rates.rates.n_limited,
             n_refused_by_rates=lambda: self.chooser.rates.n_refused,
             n_brittle=self.chooser.brittle.n_services,
@@ -301,6 +302,24 @@
             for server in self.view.servers.values()
         )
 
+    def _is_evacuated(self, address: str) -> bool:
+        return any(
+            server.address == address and not self.view.evacuations.allows(server)
+            for server in self.view.servers.values()
+            if server.is_usable
+        )
+
+    def _servers_to_reach(self) -> list[RegisteredServer]:
+        """Return the usable servers that may get requests, or have one running."""
+        loads = self.chooser.loads.loads
+        return [
+            server
+            for servers in self.view.by_service.values()
+            for server in servers
+            if self.view.evacuations.allows(server)
+            or (server.server in loads and loads[server.server].n_running)
+        ]
+
     def _record_cut_path(self, address: str, is_new: bool) -> None:
         """Take back what lost connections seemed to tell of the servers there."""
         for server in self.view.servers.values():
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -99,6 +99,11 @@
         Returns the number of suspended servers.
     n_unavailable : callable
         Returns the number of servers that are leaving or asked for a pause.
+    n_evacuated : callable
+        Returns the number of ready servers in evacuated data centres.
+    n_refused_by_evacuation : callable
+        Returns the number of attempts refused, since the start, because no server was
+        left outside evacuated data centres.
     n_rate_limited : callable
         Returns the number of servers that name a limit on their requests.
     n_refused_by_rates : callable
@@ -128,6 +133,8 @@
         n_quarantined: Callable[[], int],
         n_suspended: Callable[[], int],
         n_unavailable: Callable[[], int],
+        n_evacuated: Callable[[], int],
+        n_refused_by_evacuation: Callable[[], int],
         n_rate_limited: Callable[[], int],
         n_refused_by_rates: Callable[[], int],
         n_brittle: Callable[[], int],
@@ -143,6 +150,8 @@
         self.n_quarantined = n_quarantined
         self.n_suspended = n_suspended
         self.n_unavailable = n_unavailable
+        self.n_evacuated = n_evacuated
+        self.n_refused_by_evacuation = n_refused_by_evacuation
         self.n_rate_limited = n_rate_limited
         self.n_refused_by_rates = n_refused_by_rates
         self.n_brittle = n_brittle
@@ -185,6 +194,21 @@
             "Ready servers that are leaving or asked for a pause.",
             value=self.n_unavailable(),
         )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_evacuated_data_centres",
+            "Data centres whose servers get no requests.",
+            value=len(self.view.evacuations.evacuated),
+        )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_evacuated_servers",
+            "Ready servers in evacuated data centres.",
+            value=self.n_evacuated(),
+        )
+        yield CounterMetricFamily(
+            "turmericreel_gateway_refused_by_evacuation",
+            "Attempts refused because all servers are in evacuated data centres.",
+            value=self.n_refused_by_evacuation(),
+        )
         yield GaugeMetricFamily(
             "turmericreel_gateway_rate_limited",
             "Servers that name a limit on the requests a second.",
--- a/turmericreel/gateway/relay_listener.py
+++ b/turmericreel/gateway/relay_listener.py
@@ -51,6 +51,8 @@
         Returns the listed gateways.
     is_registered : callable
         Returns whether a server is registered at an address ``ip:port``.
+    is_evacuated : callable
+        Returns whether the server at an address is in an evacuated data centre.
     paths : ServerPaths
         Paths of this gateway.
     clock : Clock
@@ -67,11 +69,13 @@
         address: Address,
         gateways: Callable[[], Iterable[GatewayInstance]],
         is_registered: Callable[[str], bool],
+        is_evacuated: Callable[[str], bool],
         paths: ServerPaths,
         clock: Clock,
     ):
         self.gateways = gateways
         self.is_registered = is_registered
+        self.is_evacuated = is_evacuated
         self.paths = paths
         self.clock = clock
         self.n_relays = 0
@@ -136,6 +140,9 @@
             return _failed(RelayObstacle.GATEWAY, "not a listed gateway")
         if not self.is_registered(request.server_address):
             return _failed(RelayObstacle.PATH, "not a registered server")
+        if self.is_evacuated(request.server_address):
+            # The other gateway may not have heard of the order.
+            return _failed(RelayObstacle.PATH, "in an evacuated data centre")
         if self.n_relays > MAX_RELAYS:
             return _failed(RelayObstacle.GATEWAY, "too many connections")
         state = self.paths.state_of(request.server_address, now=self.clock.monotonic())
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -13,6 +13,7 @@
 from turmericreel.gateway.brittle_servers import NO_PLACE_LEFT, BrittleServers
 from turmericreel.gateway.client_request import ClientRequest
 from turmericreel.gateway.recent_sessions import RecentSessions
+from turmericreel.gateway.refusals import no_server_refusal
 from turmericreel.gateway.server_loads import ServerLoads
 from turmericreel.gateway.server_rates import RATES_REACHED, ServerRates
 from turmericreel.gateway.view import GatewayView
@@ -45,6 +46,9 @@
 # Clients do not wait for longer than this fraction of the time that they have left.
 MAX_RETRY_FRACTION = 1 / 3
 NO_SERVER_LEFT = "no usable server is left"
+ALL_EVACUATED = "all servers are in evacuated data centres"
+# An evacuation may last, so that clients should not return as soon as for a server.
+EVACUATED_RETRY_AFTER_S = 1.0
 
 
 class ServerChooser:
@@ -62,6 +66,11 @@
     paths : ServerPaths
     clock : Clock
     rng : Random
+
+    Attributes
+    ----------
+    n_refused_by_evacuation : int
+        Attempts refused because all servers are in evacuated data centres.
     """
 
     def __init__(
@@ -89,6 +98,7 @@
         self.speed = PrefillSpeed()
         self.work = PromptWork()
         self.availability = ServerAvailability()
+        self.n_refused_by_evacuation = 0
         self.rates = ServerRates(
             n_gateways=lambda: len(view.gateways), clock=clock, rng=rng
         )
@@ -138,6 +148,10 @@
             ready,
             best_of=lambda servers: self._best_of(request, service, servers),
         )
+        if not self.view.evacuations.allows(chosen):
+            # The order came while this request waited for a place.
+            self.brittle.give_back(chosen)
+            return self.choose(request, service, tried)
         try:
             # A grant may have been used while this request waited for a place.
             self.rates.check(request, service, chosen)
@@ -212,11 +226,20 @@
     def n_unavailable(self) -> int:
         """Return the number of ready servers that are leaving or asked for a pause."""
         now = self.clock.monotonic()
+        evacuations = self.view.evacuations
         return sum(
-            len(servers) - len(self._usable_servers(service, now))
+            len(evacuations.allowed(servers)) - len(self._usable_servers(service, now))
             for service, servers in self.view.by_service.items()
         )
 
+    def n_evacuated(self) -> int:
+        """Return the number of ready servers in evacuated data centres."""
+        evacuations = self.view.evacuations
+        return sum(
+            len(servers) - len(evacuations.allowed(servers))
+            for servers in self.view.by_service.values()
+        )
+
     def leaving_servers(self) -> tuple[ServerProcess, ...]:
         """Return the leaving servers that are registered as ready."""
         leaving = self.availability.leaving
@@ -291,7 +314,7 @@
     def _usable_servers(
         self, service: ServiceName, now: float
     ) -> list[RegisteredServer]:
-        servers = self.view.servers_of(service)
+        servers = self.view.evacuations.allowed(self.view.servers_of(service))
         if self.availability.is_empty:
             return servers
         return [
@@ -304,8 +327,12 @@
         self, request: ClientRequest, service: ServiceName, now: float
     ) -> FailureError:
         """Return the refusal, with the time after which a server may be available."""
+        known = self.view.servers_of(service)
+        servers = self.view.evacuations.allowed(known)
+        if known and not servers:
+            return self._evacuated_failure(request, now)
         retry_after_ms = NO_SERVER_RETRY_AFTER_MS
-        processes = [process_of(s) for s in self.view.servers_of(service)]
+        processes = [process_of(server) for server in servers]
         pause_s = self.availability.earliest_end_s(processes, now=now)
         if pause_s:
             # Clients that were refused together must not return together.
@@ -322,11 +349,19 @@
             )
         )
 
+    def _evacuated_failure(self, request: ClientRequest, now: float) -> FailureError:
+        self.n_refused_by_evacuation += 1
+        wait_s = EVACUATED_RETRY_AFTER_S * self.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
+        left_s = max(request.deadline - now, 0.0)
+        wait_s = min(wait_s, left_s * MAX_RETRY_FRACTION)
+        return no_server_refusal(ALL_EVACUATED, wait_s=wait_s)
+
 
 def is_no_server_failure(failure: Failure) -> bool:
     """Return whether the failure is that no usable server was left."""
     return isinstance(failure, NotRun) and failure.detail in (
         NO_SERVER_LEFT,
+        ALL_EVACUATED,
         RATES_REACHED,
         NO_PLACE_LEFT,
     )
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -12,8 +12,10 @@
 from gevent.event import Event
 from gevent.timeout import Timeout
 
+from turmericreel.decisions.evacuation import EvacuatedDataCentres
 from turmericreel.decisions.route_table import RouteTable
 from turmericreel.membership.instance_registry import GatewayInstance, GatewayLists
+from turmericreel.model.evacuation import Evacuation
 from turmericreel.model.ids import (
     BackendServerId,
     Incarnation,
@@ -27,6 +29,7 @@
 from turmericreel.model.server_crash import CrashReport
 from turmericreel.protocols.routing_messages import (
     Beat,
+    Evacuations,
     Gateways,
     PlaceAnswers,
     Rollouts,
@@ -85,6 +88,7 @@
         self.servers: dict[BackendServerId, RegisteredServer] = {}
         self.by_service: dict[ServiceName, list[RegisteredServer]] = {}
         self.rollouts: dict[ServiceName, Rollout] = {}
+        self.evacuations = EvacuatedDataCentres()
         self.gateway_lists = GatewayLists()
         self.gateways: tuple[GatewayInstance, ...] = ()
         self.coordinators: set[InstanceId] = set()
@@ -136,6 +140,10 @@
                 return self._receive_servers(message)
             case Rollouts():
                 return self._receive_rollouts(message)
+            case Evacuations():
+                newer = self.evacuations.receive(message.evacuations)
+                _log_evacuations(newer)
+                return bool(newer)
             case Gateways():
                 self.gateway_lists.record_report(
                     source,
@@ -264,6 +272,16 @@
     return (rollout.number, STAGE_ORDER[rollout.stage])
 
 
+def _log_evacuations(evacuations: list[Evacuation]) -> None:
+    for evacuation in evacuations:
+        log_message(
+            "gateway:evacuation",
+            data_centre=evacuation.data_centre,
+            is_evacuated=evacuation.is_evacuated,
+            number=evacuation.number,
+        )
+
+
 def _log_server(server: RegisteredServer) -> None:
     log_message(
         "gateway:server",
--- a/turmericreel/platform/configuration.py
+++ b/turmericreel/platform/configuration.py
@@ -1,5 +1,7 @@
 """Translates the platform's configurations and heartbeats into internal types."""
 
+from urllib.parse import unquote
+
 import msgspec
 
 from turmericreel.model.failures import FailureError, QueryInvalid, RoutingRejected
@@ -28,6 +30,7 @@
 )
 from turmericreel.model.routing_codec import RoutingCodec
 from turmericreel.platform.wire import (
+    MAX_NAME_LENGTH,
     BackendEntry,
     ConfigurationBody,
     HeartbeatBody,
@@ -50,6 +53,8 @@
     HeartbeatState.DRAINING: ServerState.DRAINING,
 }
 
+MAX_QUOTED_LENGTH = 64
+
 
 class PlatformCodec(RoutingCodec):
     """Decodes configurations in the platform's format.
@@ -137,6 +142,24 @@
     )
 
 
+def decode_data_centre(text: str) -> DataCentreId:
+    """Return the data centre that a part of a path names.
+
+    Raises
+    ------
+    FailureError
+        With `QueryInvalid`.
+    """
+    try:
+        name = unquote(text, errors="strict")
+    except UnicodeDecodeError as error:
+        raise FailureError(QueryInvalid(detail=str(error))) from error
+    if not name.isprintable() or "/" in text or not 0 < len(name) <= MAX_NAME_LENGTH:
+        detail = f"not the name of a data centre: {name[:MAX_QUOTED_LENGTH]!r}"
+        raise FailureError(QueryInvalid(detail=detail))
+    return DataCentreId(name)
+
+
 def _route(entry: RouteEntry) -> Route:
     shares = tuple(
         TrafficShare(service=ServiceName(s.backend), weight=s.weight)
--- a/turmericreel/platform/control_handlers.py
+++ b/turmericreel/platform/control_handlers.py
@@ -15,11 +15,12 @@
 )
 from turmericreel.model.failures import FailureError, NotLeader, QueryInvalid
 from turmericreel.model.ids import BackendServerId, ServiceName, VersionId
-from turmericreel.platform.configuration import decode_heartbeat
+from turmericreel.platform.configuration import decode_data_centre, decode_heartbeat
 from turmericreel.platform.wire import RolloutAnswer, RolloutBody
 
 CONFIGURATION_PATH = "/-/configuration"
 ROLLOUTS_PATH = "/-/rollouts"
+EVACUATION_PATH = "/-/evacuation/"
 INSTANCES_PATH = "/-/instances/"
 
 Handler = Callable[[HttpRequest], HttpAnswer]
@@ -50,6 +51,10 @@
                 f"{ROLLOUTS_PATH}/": Route(
                     handler=redirect_to_leader(self.read_rollout), methods=("GET",)
                 ),
+                EVACUATION_PATH: Route(
+                    handler=redirect_to_leader(self.order_evacuation),
+                    methods=("POST", "DELETE"),
+                ),
                 INSTANCES_PATH: Route(handler=self.server, methods=("PUT", "DELETE")),
             }
         )
@@ -87,6 +92,14 @@
             RolloutAnswer(state=rollout.stage.state.value, target=rollout.target)
         )
 
+    def order_evacuation(self, request: HttpRequest) -> HttpAnswer:
+        """Evacuate a data centre (POST), or withdraw that (DELETE)."""
+        self.coordinator.evacuations.order(
+            decode_data_centre(request.raw_path.removeprefix(EVACUATION_PATH)),
+            is_evacuated=request.method == "POST",
+        )
+        return json_answer({})
+
     def server(self, request: HttpRequest) -> HttpAnswer:
         """Record a server's heartbeat (PUT), or deregister the server (DELETE)."""
         server = request.path.rpartition("/")[2]
--- a/turmericreel/platform/coordinator.py
+++ b/turmericreel/platform/coordinator.py
@@ -12,7 +12,7 @@
 
 from turmericreel.coordination.raft.metrics import RaftCollector
 from turmericreel.coordinator.coordinator import Coordinator
-from turmericreel.coordinator.metrics import UsageCollector
+from turmericreel.coordinator.metrics import EvacuationCollector, UsageCollector
 from turmericreel.model.failures import Failure, FailureError, ListenFailed
 from turmericreel.platform.configuration import PlatformCodec
 from turmericreel.platform.control_handlers import ControlHandlers
@@ -24,7 +24,7 @@
     start_log,
 )
 from turmericreel.platform.settings import (
-    CurrentSeeds,
+    CurrentSettings,
     coordinator_settings,
     read_settings,
     settings_path,
@@ -41,7 +41,7 @@
     log = start_log()
     path = settings_path()
     process_settings = read_settings(path)
-    seeds = CurrentSeeds(path=path, settings=process_settings)
+    current = CurrentSettings(path=path, settings=process_settings)
     stop_requested = Event()
     failures: list[Failure] = []
 
@@ -53,13 +53,14 @@
 
     coordinator = Coordinator(
         settings=coordinator_settings(process_settings),
-        seeds=seeds.read,
+        seeds=current.seeds,
         codec=PlatformCodec(),
         clock=SystemClock(),
         on_failure=fail,
+        data_centres=current.data_centres,
     )
     signal_handler(SIGTERM, stop_requested.set)
-    signal_handler(SIGHUP, seeds.reload)
+    signal_handler(SIGHUP, current.reload)
     handlers = ControlHandlers(coordinator=coordinator)
     listener = build_listener(
         process_settings.listen.control_plane, handlers.application()
@@ -67,6 +68,7 @@
     metrics = build_metrics(process_settings.ip)
     metrics.registry.register(RaftCollector(log=coordinator.log))
     metrics.registry.register(UsageCollector(machine=coordinator.machine))
+    metrics.registry.register(EvacuationCollector(machine=coordinator.machine))
     try:
         coordinator.start()
         listener.start()
--- a/turmericreel/platform/gateway.py
+++ b/turmericreel/platform/gateway.py
@@ -19,7 +19,7 @@
     start_log,
 )
 from turmericreel.platform.settings import (
-    CurrentSeeds,
+    CurrentSettings,
     gateway_settings,
     read_settings,
     settings_path,
@@ -34,11 +34,11 @@
     path = settings_path()
     process_settings = read_settings(path)
     settings = gateway_settings(process_settings)
-    seeds = CurrentSeeds(path=path, settings=process_settings)
+    current = CurrentSettings(path=path, settings=process_settings)
     metrics = build_metrics(process_settings.ip)
     gateway = Gateway(
         settings=settings,
-        seeds=seeds.read,
+        seeds=current.seeds,
         codec=PlatformCodec(),
         names=PLATFORM_HEADERS,
         registry=metrics.registry,
@@ -57,7 +57,7 @@
     ]
     stop_requested = Event()
     signal_handler(SIGTERM, stop_requested.set)
-    signal_handler(SIGHUP, seeds.reload)
+    signal_handler(SIGHUP, current.reload)
     gateway.start()
     for listener in [*listeners, metrics]:
         listener.start()
--- a/turmericreel/platform/settings.py
+++ b/turmericreel/platform/settings.py
@@ -83,8 +83,8 @@
     )
 
 
-class CurrentSeeds:
-    """Seed coordinators, reloaded when the settings file changes.
+class CurrentSettings:
+    """The parts of the settings file that may change while a process runs.
 
     Parameters
     ----------
@@ -96,25 +96,32 @@
 
     def __init__(self, *, path: Path, settings: ProcessSettings):
         self.path = path
-        self.seeds = seeds_of(settings)
+        self.settings = settings
         self.modified_ns = self._modified_ns()
 
-    def read(self) -> list[InstanceId]:
-        """Return the seeds; reload the file first if it was modified."""
-        modified_ns = self._modified_ns()
-        if modified_ns != self.modified_ns:
-            self.modified_ns = modified_ns
-            self.reload()
-        return list(self.seeds)
+    def seeds(self) -> list[InstanceId]:
+        """Return the coordinators that the file lists as seeds."""
+        return list(seeds_of(self._read()))
+
+    def data_centres(self) -> set[DataCentreId]:
+        """Return the data centres that the file names."""
+        return {DataCentreId(name) for name in self._read().zones}
 
     def reload(self) -> None:
-        """Reload the file; keep the former seeds if it cannot be read."""
+        """Reload the file; keep the former settings if it cannot be read."""
         try:
-            self.seeds = seeds_of(read_settings(self.path))
+            self.settings = read_settings(self.path)
         except FailureError as error:
             log_message("platform:reload_failed", failure=error.failure.describe())
             return
-        log_message("platform:reloaded", seeds=list(self.seeds))
+        log_message("platform:reloaded", seeds=list(seeds_of(self.settings)))
+
+    def _read(self) -> ProcessSettings:
+        modified_ns = self._modified_ns()
+        if modified_ns != self.modified_ns:
+            self.modified_ns = modified_ns
+            self.reload()
+        return self.settings
 
     def _modified_ns(self) -> int:
         try:
--- a/turmericreel/platform/wire.py
+++ b/turmericreel/platform/wire.py
@@ -196,7 +196,13 @@
 
 
 class ProcessSettings(PlatformStruct):
-    """Settings file of a process; unknown fields are ignored."""
+    """Settings file of a process; unknown fields are ignored.
+
+    Attributes
+    ----------
+    zones : dict of str to str
+        The region of each data centre.
+    """
 
     node_name: str
     ip: str
@@ -204,6 +210,7 @@
     listen: ListenEntry
     internal_port_range: tuple[int, int]
     seed_nodes: tuple[str, ...]
+    zones: dict[str, str] = {}
     bootstrap: bool = False
     data_dir: str | None = None
     heartbeat_ms: int = 1_000
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -5,6 +5,7 @@
 from turmericreel.decisions.server_health import ServerOutcomes
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.model.brittle_service import BrittleReport
+from turmericreel.model.evacuation import Evacuation
 from turmericreel.model.ids import BackendServerId, Incarnation, InstanceId, Revision
 from turmericreel.model.place_report import PlaceAnswer, PlaceReport
 from turmericreel.model.registered_server import RegisteredServer
@@ -188,6 +189,15 @@
     rollouts: tuple[Rollout, ...]
 
 
+class Evacuations(RoutingMessage):
+    """The newest order on each data centre, sent only once there is one.
+
+    Other builds do not know this message.
+    """
+
+    evacuations: tuple[Evacuation, ...]
+
+
 class ServerCrashes(RoutingMessage):
     """New or changed records of servers that ended under requests, or all of them."""
 
@@ -211,6 +221,7 @@
     | Servers
     | Gateways
     | Rollouts
+    | Evacuations
     | UsageRecorded
     | ServerWork
     | PlaceAnswers
--- a/turmericreel/reports/explain.py
+++ b/turmericreel/reports/explain.py
@@ -19,6 +19,7 @@
         "gateway:configuration",
         "gateway:server",
         "gateway:rollout",
+        "gateway:evacuation",
         "gateway:suspended",
         "gateway:quarantined",
         "gateway:coordinator_lost",
--- a/turmericreel/state/routing_machine.py
+++ b/turmericreel/state/routing_machine.py
@@ -1,4 +1,4 @@
-"""Replicated routing state: the newest configuration, the roll-outs and the usage.
+"""Replicated routing state: configuration, roll-outs, evacuations and usage.
 
 A configuration is stored as the document that the operator sent, so that reading it
 returns the same bytes; only a codec interprets it.
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from turmericreel.model.evacuation import Evacuation
 from turmericreel.model.ids import (
+    DataCentreId,
     Incarnation,
     InstanceId,
     Revision,
@@ -51,7 +53,16 @@
     batches: tuple[UsageBatch, ...]
 
 
-RoutingCommand = SubmitRouting | OrderRollout | MoveRollout | RecordUsage
+class OrderEvacuation(CommandStruct):
+    """Evacuate a data centre, or withdraw that; members of older builds fail on it."""
+
+    data_centre: DataCentreId
+    is_evacuated: bool
+
+
+RoutingCommand = (
+    SubmitRouting | OrderRollout | MoveRollout | RecordUsage | OrderEvacuation
+)
 
 ENDED_STAGES = (RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK)
 
@@ -63,10 +74,11 @@
     rollouts: list[Rollout]
     usage: list[UsageItem] = []
     last_batches: dict[InstanceId, tuple[Incarnation, int]] = {}
+    evacuations: list[Evacuation] = []
 
 
 class RoutingMachine(ReplicatedMachine):
-    """The newest routing document, the newest roll-out of each service, and usage.
+    """The newest routing document, roll-outs and evacuations, and the usage.
 
     Attributes
     ----------
@@ -78,6 +90,8 @@
         Totals since the group was formed.
     last_batches : dict of InstanceId to tuple
         Incarnation and number of the last batch of each gateway.
+    evacuations : dict of DataCentreId to Evacuation
+        The newest order on each data centre, also if withdrawn.
     """
 
     def __init__(self):
@@ -87,6 +101,7 @@
         self.rollouts: dict[ServiceName, Rollout] = {}
         self.usage: dict[UsageKey, UsageAmounts] = {}
         self.last_batches: dict[InstanceId, tuple[Incarnation, int]] = {}
+        self.evacuations: dict[DataCentreId, Evacuation] = {}
 
     def apply(self, record: LogRecord) -> Done:
         """Apply one record; `changed` is True if it had an effect."""
@@ -100,6 +115,8 @@
                 return Done(changed=self._move(command))
             case RecordUsage() as command:
                 return Done(changed=self._record(command))
+            case OrderEvacuation() as command:
+                return Done(changed=self._evacuate(command, record.index))
         return Done(changed=False)
 
     def dump(self) -> bytes:
@@ -111,6 +128,7 @@
             rollouts=list(self.rollouts.values()),
             usage=[UsageItem(key=k, amounts=a) for k, a in self.usage.items()],
             last_batches=self.last_batches,
+            evacuations=list(self.evacuations.values()),
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -123,6 +141,7 @@
         self.rollouts = {rollout.service: rollout for rollout in loaded.rollouts}
         self.usage = {item.key: item.amounts for item in loaded.usage}
         self.last_batches = loaded.last_batches
+        self.evacuations = {e.data_centre: e for e in loaded.evacuations}
 
     def _submit(self, command: SubmitRouting) -> bool:
         if command.revision <= self.revision:
@@ -164,6 +183,18 @@
         self.rollouts[command.service] = moved
         return moved != known
 
+    def _evacuate(self, command: OrderEvacuation, index: int) -> bool:
+        known = self.evacuations.get(command.data_centre)
+        was_evacuated = known is not None and known.is_evacuated
+        if command.is_evacuated == was_evacuated:
+            return False
+        self.evacuations[command.data_centre] = Evacuation(
+            data_centre=command.data_centre,
+            number=index,
+            is_evacuated=command.is_evacuated,
+        )
+        return True
+
     def _record(self, command: RecordUsage) -> bool:
         changed = False
         for batch in command.batches:
--- a/turmericreel/state/routing_state_cache.py
+++ b/turmericreel/state/routing_state_cache.py
@@ -9,6 +9,7 @@
 import msgspec
 from eliot import log_message
 
+from turmericreel.model.evacuation import Evacuation
 from turmericreel.model.failures import FailureError
 from turmericreel.model.ids import Revision
 from turmericreel.model.registered_server import RegisteredServer
@@ -34,6 +35,7 @@
     rollouts: tuple[Rollout, ...] = ()
     servers: tuple[RegisteredServer, ...] = ()
     crashes: tuple[ServerCrash, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 class RoutingStateCache:
