--- a/test/platform/test_evacuation_calls.py
+++ b/test/platform/test_evacuation_calls.py
@@ -5,8 +5,10 @@
 
 import msgspec
 import pytest
+from prometheus_client import CollectorRegistry
 
 from test.routing.small_system import small_system, wait_until
+from turmericreel.coordinator.metrics import EvacuationCollector
 from turmericreel.model.failures import FailureError, QueryInvalid
 from turmericreel.platform.configuration import decode_data_centre
 from turmericreel.platform.control_handlers import ControlHandlers
@@ -66,6 +68,11 @@
         assert evacuated(leader) == expected
     for coordinator in system.coordinators:
         wait_until(lambda c=coordinator: evacuated(c) == {"a"}, "the orders everywhere")
+    registry = CollectorRegistry()
+    registry.register(EvacuationCollector(machine=leader.machine))
+    for name, value in (("a", 1), ("b", 0)):
+        metric, labels = "turmericreel_coordinator_evacuated", {"data_centre": name}
+        assert registry.get_sample_value(metric, labels) == value
 
 
 def test_other_coordinators_redirect_to_the_leader(system):
--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -6,12 +6,12 @@
 send pages that are no answers, send without an end or a length, end under some
 requests, at times after a whole answer, say that they leave, want a pause, take only
 some requests a second or fall over when they refuse too many, and fall silent for a
-second. Gateways are cut off from all servers. All coordinators are lost together at
-times. Signals come in series, and so do changes of large configurations. The faults
-overlap, while clients, operators and servers continue over persistent connections, also
-to processes that stop, until they have gone. The invariants are in `soak_checks` and
-`soak_traffic`; in addition, requests must succeed again within `MAX_RECOVERY_S` of the
-last fault.
+second. Gateways are cut off from all servers. A data centre is evacuated and taken back
+by turns. All coordinators are lost together at times. Signals come in series, and so do
+changes of large configurations. The faults overlap, while clients, operators and
+servers continue over persistent connections, also to processes that stop, until they
+have gone. The invariants are in `soak_checks`, `soak_evacuations` and `soak_traffic`;
+in addition, requests must succeed again within `MAX_RECOVERY_S` of the last fault.
 
     python -m test_long.routing_soak --seed 7 --duration 60
 """
@@ -50,6 +50,11 @@
     check_runs,
     check_stops,
 )
+from test_long.soak_evacuations import (
+    EVACUATED_ZONE,
+    EvacuationOperator,
+    check_evacuations,
+)
 from test_long.soak_traffic import (
     BRITTLE_SERVICE,
     FATAL_PARTS,
@@ -173,6 +178,7 @@
             server.n_places, server.n_queued = N_PLACES, N_QUEUED
             server.work_s = PLACE_S
         self.servers = self.ending_servers + self.limited_servers + self.brittle_servers
+        self.evacuated_servers = self.ending_servers[:1]
         self.proxies: list[LoopbackProxy] = []
         self.findings = Findings()
         self.numbers = count(1)
@@ -203,6 +209,12 @@
             self.proxies.append(proxy)
         tasks = [spawn(self._send_heartbeats, n) for n in range(len(self.servers))]
         tasks += [spawn(self._run_operator)]
+        evacuations = EvacuationOperator(
+            addresses=self.control,
+            is_running=lambda: self.clients_running,
+            findings=self.findings,
+            rng=self.rng,
+        )
         try:
             self._wait_for_service()
             tasks += [spawn(self._run_client) for _ in range(N_CLIENTS)]
@@ -214,6 +226,7 @@
                 spawn(self._inject_cuts),
                 spawn(self._inject_brittle_periods),
                 spawn(self._sample_gateways),
+                spawn(evacuations.run),
                 *(
                     spawn(self._inject_limits, server)
                     for server in self.limited_servers
@@ -235,6 +248,9 @@
             check_brittle_periods(
                 self.brittle_periods, self.gateway_history, self.findings
             )
+            check_evacuations(
+                evacuations.periods, self.evacuated_servers, self.findings
+            )
             check_first_tries(self.gateway_history, self.findings)
         finally:
             self.running = False
@@ -304,6 +320,7 @@
                     address=self.proxies[number].address,
                     sequence=sequence,
                     coordinators=self.rng.sample(self.control, len(self.control)),
+                    zone=EVACUATED_ZONE if server in self.evacuated_servers else "a",
                 )
             sleep(HEARTBEAT_S)
         caller.close()
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -352,12 +352,13 @@
     address: str,
     sequence: int,
     coordinators: Sequence[str],
+    zone: str,
 ) -> None:
     """Send a heartbeat of a server to the first coordinator that accepts it."""
     heartbeat = {
         "Backend": service_of(server),
         "Address": address,
-        "Zone": "a",
+        "Zone": zone,
         "Version": "v1",
         "Slots": server.n_places or N_SLOTS,
         "State": "ready",
--- a/turmericreel/coordinator/metrics.py
+++ b/turmericreel/coordinator/metrics.py
@@ -57,5 +57,6 @@
             labels=["data_centre"],
         )
         for evacuation in self.machine.evacuations.values():
-            family.add_metric([evacuation.data_centre], evacuation.is_evacuated)
+            value = int(evacuation.is_evacuated)
+            family.add_metric([evacuation.data_centre], value)
         yield family
