--- a/test/platform/test_names.py
+++ b/test/platform/test_names.py
@@ -8,7 +8,7 @@
 WIRE_NAMES = re.compile(
     r"Turmericreel-(Model\b|Token-Count|Prefix-Hash|Not-Executed|Backend-|Expect-|"
     r"Tenant|Retain|Pin-|Kv-|Length-Hint|Confidence|Weight-Versions|Attempt-Id)"
-    r"|/-/(configuration|rollouts|instances|readiness|resolution)"
+    r"|/-/(configuration|evacuation|rollouts|instances|readiness|resolution)"
     r"|\b(PathPrefix|TrafficSplit|ApiKeys|HeartbeatAddress|SeedNodes|ControlPlane)\b"
 )
 
