Grant requests of cold servers within a bound over all gateways

A server that is cold got as many requests as a warm one, times two: up to 24 a second of 20 allowed when a data centre came back cold in a burst (FAILBACK). Nothing limited them, and a changed warm-up time never reached gateways that were connected.

The leading coordinator grants single requests of cold servers, counted over a second and the time for which a grant is valid. Gateways without a leader have rare turns where only cold servers are left. Heartbeats that change the warm-up time are published at once; cold times are deadlines.

--- a/test/routing/library.py
+++ b/test/routing/library.py
@@ -42,6 +42,7 @@
     incarnation: int = 0,
     sequence: int = 1,
     data_centre: str = "a",
+    cold_ms: int = 0,
 ) -> RegisteredServer:
     """Return a registered server."""
     return RegisteredServer(
@@ -54,6 +55,7 @@
         state=state,
         incarnation=Incarnation(incarnation),
         sequence=sequence,
+        warmup_left_ms=cold_ms,
     )
 
 
@@ -82,14 +84,22 @@
 
 
 def make_configuration(
-    *routes: Route, revision: int = 1, accounts: dict[str, str] | None = None
+    *routes: Route,
+    revision: int = 1,
+    accounts: dict[str, str] | None = None,
+    cold_rate: float | None = None,
 ) -> RoutingConfiguration:
     """Return a configuration; `accounts` maps names to keys."""
     return RoutingConfiguration(
         revision=Revision(revision),
         routes=routes,
         services=tuple(
-            RoutedService(name=name, health_path="/health", max_connections=10)
+            RoutedService(
+                name=name,
+                health_path="/health",
+                max_connections=10,
+                cold_rate=cold_rate,
+            )
             for name in (SERVICE, BOOKINGS)
         ),
         accounts=None
--- a/test/routing/small_system.py
+++ b/test/routing/small_system.py
@@ -25,7 +25,11 @@
     RoutingConfiguration,
 )
 from turmericreel.model.routing_codec import RoutingCodec
-from turmericreel.model.routing_settings import CoordinatorSettings, GatewaySettings
+from turmericreel.model.routing_settings import (
+    ColdBounds,
+    CoordinatorSettings,
+    GatewaySettings,
+)
 from turmericreel.util.clock import SystemClock
 
 NAMES = HeaderNames()
@@ -79,9 +83,11 @@
         n_coordinators: int = 1,
         n_gateways: int = 1,
         names: HeaderNames = NAMES,
+        cold_bounds: ColdBounds = ColdBounds(),
     ):
         self.folder = folder
         self.names = names
+        self.cold_bounds = cold_bounds
         self.internal_port = free_port()
         self.raft_port = free_port()
         self.relay_port = free_port()
@@ -123,6 +129,7 @@
                 internal_port=self.internal_port,
                 raft_port=self.raft_port,
                 heartbeat_ms=60_000,
+                cold_bounds=self.cold_bounds,
             ),
             seeds=lambda: coordinator_seeds,
             codec=JsonCodec(),
@@ -148,6 +155,7 @@
                 stop_deadline_ms=2_000,
                 client_connections=100,
                 session_idle_ms=500,
+                cold_bounds=self.cold_bounds,
             ),
             seeds=lambda: list(self.seeds),
             codec=JsonCodec(),
@@ -167,10 +175,10 @@
         )
         return next(c for c in self.coordinators if c.log.is_leader())
 
-    def submit(self, *routes, revision: int = 1, accounts=None) -> None:
+    def submit(self, *routes, revision: int = 1, accounts=None, cold_rate=None) -> None:
         """Submit a configuration and wait until all gateways have received it."""
         configuration = make_configuration(
-            *routes, revision=revision, accounts=accounts
+            *routes, revision=revision, accounts=accounts, cold_rate=cold_rate
         )
         self.leader.submit_routing(msgspec.json.encode(configuration))
         self.wait_for_revision(revision)
@@ -201,11 +209,17 @@
         return server
 
     def send_heartbeat(
-        self, name: str, *, version: str = "v1", state=ServerState.READY
+        self,
+        name: str,
+        *,
+        version: str = "v1",
+        state=ServerState.READY,
+        cold_ms: int = 0,
+        coordinator_index: int = 0,
     ) -> None:
-        """Send a heartbeat of a server to the first coordinator."""
+        """Send a heartbeat of a server to a coordinator."""
         self.sequence += 1
-        self.coordinators[0].record_heartbeat(
+        self.coordinators[coordinator_index].record_heartbeat(
             RegisteredServer(
                 server=name,
                 service=SERVICE,
@@ -216,6 +230,7 @@
                 state=state,
                 incarnation=self.incarnations.get(name, 0),
                 sequence=self.sequence,
+                warmup_left_ms=cold_ms,
             )
         )
 
--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -13,6 +13,7 @@
     DiscoveringTransport,
     PeerListener,
 )
+from turmericreel.coordinator.cold_distributor import ColdDistributor
 from turmericreel.coordinator.hub import Hub
 from turmericreel.coordinator.rollout_task import RolloutTask
 from turmericreel.coordinator.sessions import PeerSession, SessionListener
@@ -140,6 +141,13 @@
             registry=ServerRegistry(expiry_s=expiry_s),
             heartbeat=self.heartbeat,
             clock=clock,
+            cold=ColdDistributor(
+                codec=codec,
+                bounds=settings.cold_bounds,
+                holds_lease=self.log.is_leader,
+                clock=clock,
+                rng=SystemRandom(),
+            ),
         )
         self.rollouts = RolloutTask(
             log=self.log,
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -13,6 +13,7 @@
 from gevent.event import Event
 from msgspec.structs import replace
 
+from turmericreel.coordinator.cold_distributor import ColdDistributor
 from turmericreel.coordinator.crash_records import CrashRecords
 from turmericreel.coordinator.place_distributor import PlaceDistributor, newest_reports
 from turmericreel.decisions.rate_grants import RateGrants
@@ -20,6 +21,7 @@
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.brittle_service import BrittleReport
+from turmericreel.model.cold_server import ColdAnswer
 from turmericreel.model.ids import BackendServerId, InstanceId, Revision
 from turmericreel.model.place_report import PlaceReport
 from turmericreel.model.registered_server import RegisteredServer
@@ -80,6 +82,8 @@
     heartbeat : callable
         Returns the current heartbeat message.
     clock : Clock
+    cold : ColdDistributor or None
+        None if nothing limits the requests of cold servers.
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         registry: ServerRegistry,
         heartbeat: Callable[[], Beat],
         clock: Clock,
+        cold: ColdDistributor | None = None,
     ):
         self.instance = instance
         self.machine = machine
@@ -97,6 +102,7 @@
         self.heartbeat = heartbeat
         self.clock = clock
         self.now = clock.monotonic
+        self.cold = cold
         self.gateways: dict[InstanceId, GatewayEntry] = {}
         self.gateways_of_peers: dict[InstanceId, dict[InstanceId, GatewayInstance]] = {}
         self.changed_gateways: set[InstanceId] = set()
@@ -130,6 +136,7 @@
         """
         self.restored = state
         self.registry.restore(state.servers, now=self.now(), expiry_s=expiry_s)
+        self._record_cold(self.registry.servers.values())
         self.crashes.restore(state.crashes)
 
     def hold_distributed_state(self) -> None:
@@ -161,6 +168,7 @@
         else:
             self.unchanged_heartbeats[reported.server] = reported
         if self.registry.servers.get(reported.server) is reported:
+            self._record_cold([reported])
             self._publish_crashes(self.crashes.record_heartbeat(reported))
 
     def receive_crashes(self, reports: Iterable[CrashReport]) -> None:
@@ -182,6 +190,8 @@
         """Record registrations that another coordinator received."""
         now = self.now()
         changed = [s for s in servers if self.registry.record_report(s, now=now)]
+        known = self.registry.servers
+        self._record_cold(s for s in servers if known.get(s.server) is s)
         if changed:
             self._send_to_gateways(Servers(servers=tuple(changed)))
 
@@ -194,7 +204,11 @@
     def send_unchanged_heartbeats(self) -> None:
         """Send unchanged heartbeats to the other coordinators in one message."""
         if self.unchanged_heartbeats:
-            message = Servers(servers=tuple(self.unchanged_heartbeats.values()))
+            now = self.now()
+            servers = self.unchanged_heartbeats.values()
+            message = Servers(
+                servers=tuple(self.registry.current(s, now=now) for s in servers)
+            )
             self.unchanged_heartbeats = {}
             for peer in self.peers.values():
                 peer.send(message)
@@ -234,6 +248,8 @@
             entry.brittle = work.brittle
             self.health.record_report(instance, work.outcomes, now=self.now())
             self.rates.record_report(instance, work.rates, now=self.now())
+            if self.cold is not None and work.cold is not None:
+                self.cold.receive(instance, work.cold)
 
     def receive_places(
         self, instance: InstanceId, report: PlaceReport, session: Session
@@ -265,7 +281,7 @@
     def add_peer(self, instance: InstanceId, session: Session) -> None:
         """Add a coordinator and send it all registrations and own gateways."""
         self.peers[instance] = session
-        session.send(Servers(servers=tuple(self.registry.servers.values())))
+        session.send(Servers(servers=self.registry.current_servers(now=self.now())))
         session.send(ServerCrashes(crashes=tuple(self.crashes.reports())))
         own = tuple(e.status.gateway for e in self.gateways.values())
         session.send(Gateways(gateways=own, complete=True))
@@ -371,8 +387,9 @@
         leaving = tuple({p for e in self.gateways.values() for p in e.leaving})
         # Without a leader, several coordinators would grant the same requests.
         grants = self._grant_rates() if is_leader else {}
+        cold = self._cold_answers(beat.term)
         grants_places = self.places.grants is not None
-        has_content = bool(total or suspended or leaving or grants or brittle)
+        has_content = bool(total or suspended or leaving or grants or brittle or cold)
         if not has_content and not self.work_sent:
             return
         self.work_sent = has_content
@@ -386,9 +403,26 @@
         )
         for instance, entry in list(self.gateways.items()):
             rates = grants.get(instance, ())
-            message = replace(work, rates=rates, term=beat.term) if rates else work
+            answer = cold.get(instance)
+            message = work
+            if rates or answer is not None:
+                message = replace(work, rates=rates, cold=answer, term=beat.term)
             entry.session.send(message)
 
+    def _record_cold(self, servers: Iterable[RegisteredServer]) -> None:
+        if self.cold is not None:
+            self.cold.record(servers)
+
+    def _cold_answers(self, term: int) -> dict[InstanceId, ColdAnswer]:
+        """Return the grants of cold servers, for the gateways connected here."""
+        if self.cold is None or not self.cold.has_cold():
+            return {}
+        source = self._routing_source()
+        if source.revision:
+            self.cold.update_limits(source.revision, source.document)
+        servers = self.registry.servers.values()
+        return self.cold.answers(servers, self.gateways, term=term)
+
     def _grant_rates(self) -> dict[InstanceId, tuple[RateGrant, ...]]:
         if not self.rates.known.limits:
             return {}
@@ -451,7 +485,8 @@
             messages.append(
                 ServerWork(work_ms={}, rates=limits, brittle=brittle, is_partial=True)
             )
-        servers = tuple(self.registry.servers.values())
+        # With the time for which cold ones are cold from now on.
+        servers = self.registry.current_servers(now=self.now())
         messages.append(Servers(servers=servers))
         messages.append(self._all_gateways())
         return messages
--- a/turmericreel/decisions/gateway_turns.py
+++ b/turmericreel/decisions/gateway_turns.py
@@ -18,6 +18,8 @@
     Parameters
     ----------
     rng : Random
+    valid_s : float
+        Time for which a turn can be used.
 
     Attributes
     ----------
@@ -26,8 +28,9 @@
         clock.
     """
 
-    def __init__(self, *, rng: Random):
+    def __init__(self, *, rng: Random, valid_s: float = TURN_VALID_S):
         self.rng = rng
+        self.valid_s = valid_s
         self.began_at: dict[Hashable, float] = {}
 
     def has_turn(self, key: Hashable, *, period_s: float, now: float) -> bool:
@@ -44,10 +47,10 @@
         if key not in self.began_at:
             self.began_at[key] = now + self.rng.uniform(0.0, period_s)
         began_at = min(self.began_at[key], now + period_s)
-        if now >= began_at + TURN_VALID_S:
+        if now >= began_at + self.valid_s:
             began_at += max((now - began_at) // period_s, 1.0) * period_s
         self.began_at[key] = began_at
-        return began_at <= now < began_at + TURN_VALID_S
+        return began_at <= now < began_at + self.valid_s
 
     def take(self, key: Hashable, *, period_s: float, now: float) -> None:
         """Use the turn."""
--- a/turmericreel/decisions/server_placement.py
+++ b/turmericreel/decisions/server_placement.py
@@ -39,11 +39,14 @@
     work_ms : float
         Prefill time of the prompts that all gateways sent to the server and whose
         answers have not begun.
+    is_cold : bool
+        Whether the server is still slow.
     """
 
     server: RegisteredServer
     load: float
     work_ms: float = 0.0
+    is_cold: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -108,7 +111,7 @@
             load = candidate.load + 1
             if server.data_centre != data_centre:
                 load += REMOTE_PENALTY_REQUESTS
-            if server.warmup_left_ms > 0:
+            if candidate.is_cold:
                 load *= WARMUP_FACTOR
             return (load / max(server.n_slots, 1), rng.random())
 
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -180,6 +180,9 @@
             # Otherwise another server answered at this address.
             limit = answer.header(self.names.rate_limit)
             self.chooser.rates.record_answer(server, limit)
+            self.chooser.rates.cold.record_answer(
+                server, answer.header(self.names.cold_ms)
+            )
             self.chooser.brittle.record_header(
                 server, answer.header(self.names.brittle)
             )
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -103,6 +103,7 @@
             on_places=lambda answer: self.chooser.brittle.asks.receive(answer),
             on_crashes=self.guard.receive,
             on_server_ended=self.guard.record_ended_server,
+            on_servers=lambda servers: self.chooser.rates.cold.record(servers),
         )
         self.evidence = EvidenceCounter()
         rng = SystemRandom()
@@ -119,6 +120,7 @@
             paths=paths,
             clock=clock,
             rng=rng,
+            cold_bounds=settings.cold_bounds,
         )
         own_address = parse_address(settings.client_address)
         self.connections = PathConnections(
@@ -192,6 +194,8 @@
             n_unavailable=self.chooser.n_unavailable,
             n_rate_limited=self.chooser.rates.rates.n_limited,
             n_refused_by_rates=lambda: self.chooser.rates.n_refused,
+            n_cold=self.chooser.rates.cold.n_cold,
+            n_refused_for_cold=lambda: self.chooser.rates.cold.n_refused,
             n_brittle=self.chooser.brittle.n_services,
             n_refused_for_places=lambda: self.chooser.brittle.n_refused,
             n_refused_by_brittle=lambda: self.chooser.brittle.n_refused_by_servers,
@@ -284,6 +288,7 @@
             outcomes=self.chooser.loads.collect_outcomes(held=self._checked_servers()),
             leaving=self.chooser.leaving_servers(),
             rates=self.chooser.rates.report(),
+            cold=self.chooser.rates.cold.report(),
             brittle=self.chooser.brittle.reports(),
         )
 
--- a/turmericreel/gateway/header_names.py
+++ b/turmericreel/gateway/header_names.py
@@ -35,6 +35,8 @@
     brittle : str
         Requests a second that a server can refuse for want of room before it falls
         over; set in all its answers while it applies.
+    cold_ms : str
+        For how much longer a server is cold, in milliseconds; in its answers.
     load : str
         Running requests, waiting requests and slots of a server, comma-separated.
     model : str
@@ -66,6 +68,7 @@
     leaving: str = "Turmericreel-Leaving"
     rate_limit: str = "Turmericreel-Rate-Limit"
     brittle: str = "Turmericreel-Brittle"
+    cold_ms: str = "Turmericreel-Cold-Ms"
     load: str = "Turmericreel-Load"
     model: str = "Turmericreel-Wanted-Model"
     any_model: str = "*"
--- a/turmericreel/gateway/links.py
+++ b/turmericreel/gateway/links.py
@@ -222,6 +222,7 @@
                 return
             work = self.work()
             has_work = bool(work.work_ms or work.outcomes or work.rates or work.brittle)
+            has_work = has_work or work.cold is not None
             if has_work or was_sent:
                 stream.send(work)
             was_sent = has_work
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -103,6 +103,11 @@
         Returns the number of servers that name a limit on their requests.
     n_refused_by_rates : callable
         Returns the number of requests refused because of such limits since the start.
+    n_cold : callable
+        Returns the number of server processes that are cold.
+    n_refused_for_cold : callable
+        Returns the number of attempts refused, since the start, because only cold
+        servers were left and these had got what they take.
     n_brittle : callable
         Returns the number of services whose servers are brittle.
     n_refused_for_places : callable
@@ -130,6 +135,8 @@
         n_unavailable: Callable[[], int],
         n_rate_limited: Callable[[], int],
         n_refused_by_rates: Callable[[], int],
+        n_cold: Callable[[], int],
+        n_refused_for_cold: Callable[[], int],
         n_brittle: Callable[[], int],
         n_refused_for_places: Callable[[], int],
         n_refused_by_brittle: Callable[[], int],
@@ -145,6 +152,8 @@
         self.n_unavailable = n_unavailable
         self.n_rate_limited = n_rate_limited
         self.n_refused_by_rates = n_refused_by_rates
+        self.n_cold = n_cold
+        self.n_refused_for_cold = n_refused_for_cold
         self.n_brittle = n_brittle
         self.n_refused_for_places = n_refused_for_places
         self.n_refused_by_brittle = n_refused_by_brittle
@@ -195,6 +204,16 @@
             "Attempts refused because all servers had got as many as they take.",
             value=self.n_refused_by_rates(),
         )
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_cold_servers",
+            "Servers that are cold.",
+            value=self.n_cold(),
+        )
+        yield CounterMetricFamily(
+            "turmericreel_gateway_refused_for_cold",
+            "Attempts refused because only cold servers were left.",
+            value=self.n_refused_for_cold(),
+        )
         yield GaugeMetricFamily(
             "turmericreel_gateway_brittle_services",
             "Services whose servers fall over when they refuse many requests.",
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -12,9 +12,14 @@
 from turmericreel.decisions.version_split import servers_for_rollout, session_hash
 from turmericreel.gateway.brittle_servers import NO_PLACE_LEFT, BrittleServers
 from turmericreel.gateway.client_request import ClientRequest
+from turmericreel.gateway.cold_servers import ColdLimits
 from turmericreel.gateway.recent_sessions import RecentSessions
 from turmericreel.gateway.server_loads import ServerLoads
-from turmericreel.gateway.server_rates import RATES_REACHED, ServerRates
+from turmericreel.gateway.server_rates import (
+    COLD_SERVERS_BUSY,
+    RATES_REACHED,
+    ServerRates,
+)
 from turmericreel.gateway.view import GatewayView
 from turmericreel.model.failures import (
     Failure,
@@ -31,6 +36,7 @@
 )
 from turmericreel.model.registered_server import RegisteredServer, ServerState
 from turmericreel.model.routing import ModelName
+from turmericreel.model.routing_settings import ColdBounds
 from turmericreel.model.server_crash import ServerProcess, process_of
 from turmericreel.protocols.routing_messages import ServerWork
 from turmericreel.util.clock import Clock
@@ -62,6 +68,7 @@
     paths : ServerPaths
     clock : Clock
     rng : Random
+    cold_bounds : ColdBounds
     """
 
     def __init__(
@@ -76,6 +83,7 @@
         paths: ServerPaths,
         clock: Clock,
         rng: Random,
+        cold_bounds: ColdBounds = ColdBounds(),
     ):
         self.view = view
         self.data_centre = data_centre
@@ -90,7 +98,10 @@
         self.work = PromptWork()
         self.availability = ServerAvailability()
         self.rates = ServerRates(
-            n_gateways=lambda: len(view.gateways), clock=clock, rng=rng
+            n_gateways=lambda: len(view.gateways),
+            cold_limits=ColdLimits(view=view, bounds=cold_bounds),
+            clock=clock,
+            rng=rng,
         )
         self.brittle = BrittleServers(
             instance=instance,
@@ -164,6 +175,7 @@
                     server=s,
                     load=self.loads.of(s.server).estimate(now=now),
                     work_ms=self.work.pending_ms(s.server),
+                    is_cold=self.rates.cold.is_cold(s),
                 )
                 for s in servers
             ],
@@ -189,6 +201,8 @@
         """Record the servers' pending prefill work, and which are not to be used."""
         if work.rates:
             self.rates.receive(work.rates, term=work.term)
+        if work.cold is not None:
+            self.rates.receive_cold(work.cold, term=work.term)
         if work.brittle:
             self.brittle.receive(work.brittle)
         if work.grants_places:
@@ -234,6 +248,7 @@
         }
         self.availability.drop_unregistered(present, now=self.clock.monotonic())
         self.rates.rates.drop_unregistered(present)
+        self.rates.cold.decisions.drop_unregistered(present)
         self.brittle.places.drop_unregistered(set(self.view.servers))
         self.paths.drop_unregistered(s.address for s in self.view.servers.values())
 
@@ -328,5 +343,6 @@
     return isinstance(failure, NotRun) and failure.detail in (
         NO_SERVER_LEFT,
         RATES_REACHED,
+        COLD_SERVERS_BUSY,
         NO_PLACE_LEFT,
     )
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -63,6 +63,8 @@
     on_server_ended : callable
         Called with the last registration of each server process that ended without
         being deregistered.
+    on_servers : callable
+        Called with the registrations that are newer than those known.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         on_places: Callable[[PlaceAnswer], None],
         on_crashes: Callable[[tuple[CrashReport, ...]], None],
         on_server_ended: Callable[[RegisteredServer], None],
+        on_servers: Callable[[list[RegisteredServer]], None] = lambda servers: None,
     ):
         self.codec = codec
         self.on_usage_recorded = on_usage_recorded
@@ -81,6 +84,7 @@
         self.on_places = on_places
         self.on_crashes = on_crashes
         self.on_server_ended = on_server_ended
+        self.on_servers = on_servers
         self.table: RouteTable | None = None
         self.servers: dict[BackendServerId, RegisteredServer] = {}
         self.by_service: dict[ServiceName, list[RegisteredServer]] = {}
@@ -199,15 +203,18 @@
 
     def _receive_servers(self, message: Servers) -> bool:
         changed = False
+        newer = []
         for server in message.servers:
             known = self.servers.get(server.server)
             if known is not None and not server.supersedes(known):
                 continue
             self.servers[server.server] = server
+            newer.append(server)
             self._report_ended_servers(server, known)
             if known is None or _is_other_process(server, known):
                 changed = True
                 _log_server(server)
+        self.on_servers(newer)
         if changed or message.servers:
             self._index_servers()
         return changed
--- a/turmericreel/membership/server_registry.py
+++ b/turmericreel/membership/server_registry.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from math import ceil
 
 import msgspec
 
@@ -14,6 +15,8 @@
 # Records of departed and expired servers are kept as tombstones, longer than a
 # heartbeat can be delayed in transit.
 TOMBSTONE_RETENTION_S = 60.0
+# The end of a warm-up seems to move by the delays of heartbeats, which differ.
+WARMUP_TOLERANCE_S = 0.2
 
 
 class ServerRegistry:
@@ -23,19 +26,25 @@
     ----------
     expiry_s : float
         Time without a heartbeat after which a server counts as lost.
+
+    Attributes
+    ----------
+    warmup_deadlines : dict of BackendServerId to float
+        Until when servers are cold, in seconds on the monotonic clock.
     """
 
     def __init__(self, *, expiry_s: float):
         self.expiry_s = expiry_s
         self.servers: dict[BackendServerId, RegisteredServer] = {}
         self.expiry_deadlines: dict[BackendServerId, float] = {}
+        self.warmup_deadlines: dict[BackendServerId, float] = {}
 
     def record_report(self, reported: RegisteredServer, *, now: float) -> bool:
         """Record a registration or heartbeat; return whether others must be notified.
 
         It is ignored if it is outdated or if a newer server uses the same address.
-        Returns False then, and for a heartbeat that changes only the expiry or the
-        warm-up time.
+        Returns False then, and for a heartbeat that changes only the expiry, or the
+        warm-up time by what has passed of it.
         """
         known = self.servers.get(reported.server)
         if known is not None and not reported.supersedes(known):
@@ -44,7 +53,22 @@
             return False
         self.servers[reported.server] = reported
         self.expiry_deadlines[reported.server] = now + self.expiry_s
-        return known is None or _without_sequence(known) != _without_sequence(reported)
+        warmup_changed = self._record_warmup(reported, now)
+        if known is None or warmup_changed:
+            return True
+        return _without_sequence(known) != _without_sequence(reported)
+
+    def current(self, server: RegisteredServer, *, now: float) -> RegisteredServer:
+        """Return a registration with the warm-up time that is left now."""
+        if not server.warmup_left_ms:
+            return server
+        left_s = self.warmup_deadlines.get(server.server, now) - now
+        left_ms = max(ceil(left_s * 1_000), 0)
+        return msgspec.structs.replace(server, warmup_left_ms=left_ms)
+
+    def current_servers(self, *, now: float) -> tuple[RegisteredServer, ...]:
+        """Return all registrations, with the warm-up times that are left now."""
+        return tuple(self.current(s, now=now) for s in self.servers.values())
 
     def restore(
         self, servers: Iterable[RegisteredServer], *, now: float, expiry_s: float
@@ -79,12 +103,22 @@
             if known.state in (ServerState.GONE, ServerState.EXPIRED):
                 if now >= deadline + TOMBSTONE_RETENTION_S:
                     del self.servers[server], self.expiry_deadlines[server]
+                    self.warmup_deadlines.pop(server, None)
             elif now >= deadline:
                 lost = msgspec.structs.replace(known, state=ServerState.EXPIRED)
                 self.servers[server] = lost
                 expired.append(lost)
         return expired
 
+    def _record_warmup(self, reported: RegisteredServer, now: float) -> bool:
+        """Record until when a server is cold; return whether that changed."""
+        known = self.warmup_deadlines.pop(reported.server, now)
+        deadline = now
+        if reported.warmup_left_ms > 0:
+            deadline = now + reported.warmup_left_ms / 1_000
+            self.warmup_deadlines[reported.server] = deadline
+        return abs(deadline - max(known, now)) > WARMUP_TOLERANCE_S
+
     def _address_used_by_newer(self, reported: RegisteredServer) -> bool:
         return any(
             other.address == reported.address
--- a/turmericreel/model/routing.py
+++ b/turmericreel/model/routing.py
@@ -105,12 +105,20 @@
 
 
 class RoutedService(RoutingStruct):
-    """A service that routes refer to; `engine` is None for plain services."""
+    """A service that routes refer to; `engine` is None for plain services.
+
+    Attributes
+    ----------
+    cold_rate : float or None
+        Requests a second that a cold server of the service takes from all gateways
+        together; None if nothing limits them.
+    """
 
     name: ServiceName
     health_path: str
     max_connections: int
     engine: EngineTraits | None = None
+    cold_rate: float | None = None
 
 
 class AccountKeys(RoutingStruct):
--- a/turmericreel/model/routing_settings.py
+++ b/turmericreel/model/routing_settings.py
@@ -5,6 +5,22 @@
 from turmericreel.model.ids import DataCentreId, InstanceId
 
 
+@dataclass(frozen=True, kw_only=True)
+class ColdBounds:
+    """Requests that a cold server may get within one second.
+
+    Attributes
+    ----------
+    overshoot : float
+        Multiple of the rate that the service's configuration names.
+    slack : float
+        Requests in addition.
+    """
+
+    overshoot: float = 1.0
+    slack: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
     """Settings of a gateway.
@@ -33,6 +49,7 @@
         Maximum number of concurrent client connections.
     session_idle_ms : int
         Idle time after which a session ends.
+    cold_bounds : ColdBounds
     """
 
     instance: InstanceId
@@ -47,6 +64,7 @@
     stop_deadline_ms: int
     client_connections: int
     session_idle_ms: int
+    cold_bounds: ColdBounds = ColdBounds()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -68,6 +86,7 @@
         Maximum share of a service's requests at a new version during its roll-out.
     exposure_slack : int
         Requests that it may get in addition.
+    cold_bounds : ColdBounds
     """
 
     instance: InstanceId
@@ -80,6 +99,7 @@
     heartbeat_ms: int
     exposure_share: float = 0.15
     exposure_slack: int = 30
+    cold_bounds: ColdBounds = ColdBounds()
 
 
 def internal_address(instance: InstanceId, port: int) -> str:
--- a/turmericreel/platform/headers.py
+++ b/turmericreel/platform/headers.py
@@ -14,6 +14,7 @@
     leaving="Server-Leaving",
     rate_limit="Server-Limit",
     brittle="Server-Brittle",
+    cold_ms="Turmericreel-Warmup-Ms",
     load="Turmericreel-Backend-Load",
     model="Turmericreel-Model",
     confidence="Turmericreel-Confidence",
--- a/turmericreel/platform/settings.py
+++ b/turmericreel/platform/settings.py
@@ -8,7 +8,11 @@
 
 from turmericreel.model.failures import FailureError, FileUnreadable
 from turmericreel.model.ids import DataCentreId, InstanceId
-from turmericreel.model.routing_settings import CoordinatorSettings, GatewaySettings
+from turmericreel.model.routing_settings import (
+    ColdBounds,
+    CoordinatorSettings,
+    GatewaySettings,
+)
 from turmericreel.platform.wire import ProcessSettings
 
 PATH_VARIABLE = "TURMERICREEL_CONFIG"
@@ -62,6 +66,7 @@
         stop_deadline_ms=int(settings.bounds.grace_s * 1_000),
         client_connections=max(connections, MIN_CLIENT_CONNECTIONS),
         session_idle_ms=int(settings.bounds.session_s * 1_000),
+        cold_bounds=_cold_bounds(settings),
     )
 
 
@@ -80,6 +85,14 @@
         heartbeat_ms=settings.heartbeat_ms,
         exposure_share=settings.bounds.canary_share,
         exposure_slack=settings.bounds.canary_slack,
+        cold_bounds=_cold_bounds(settings),
+    )
+
+
+def _cold_bounds(settings: ProcessSettings) -> ColdBounds:
+    return ColdBounds(
+        overshoot=settings.bounds.warmup_overshoot,
+        slack=settings.bounds.warmup_slack,
     )
 
 
--- a/turmericreel/platform/wire.py
+++ b/turmericreel/platform/wire.py
@@ -79,6 +79,7 @@
     name: str
     health_check: str = ""
     max_connections: Count = 0
+    warmup_per_s: Weight = 0
     runtime: RuntimeEntry | None = None
 
 
@@ -182,7 +183,7 @@
 
 
 class BoundsEntry(PlatformStruct):
-    """Limits on draining, stopping, sessions, retries, roll-outs and address lists."""
+    """Limits on stops, sessions, retries, roll-outs, cold servers and address lists."""
 
     drain_ms: int = 2_000
     grace_s: float = 8
@@ -192,6 +193,8 @@
     budget_slack: float = 10
     canary_share: float = 0.15
     canary_slack: int = 30
+    warmup_overshoot: float = 1
+    warmup_slack: float = 0
     ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5)
 
 
--- a/turmericreel/protocols/routing_messages.py
+++ b/turmericreel/protocols/routing_messages.py
@@ -5,6 +5,7 @@
 from turmericreel.decisions.server_health import ServerOutcomes
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.model.brittle_service import BrittleReport
+from turmericreel.model.cold_server import ColdAnswer, ColdReport
 from turmericreel.model.ids import BackendServerId, Incarnation, InstanceId, Revision
 from turmericreel.model.place_report import PlaceAnswer, PlaceReport
 from turmericreel.model.registered_server import RegisteredServer
@@ -67,6 +68,8 @@
         message.
     brittle : tuple of BrittleReport
         Services whose servers are brittle.
+    cold : ColdReport or None
+        None while no server is cold.
     """
 
     work_ms: dict[BackendServerId, float]
@@ -74,6 +77,7 @@
     leaving: tuple[ServerProcess, ...] = ()
     rates: tuple[RateReport, ...] = ()
     brittle: tuple[BrittleReport, ...] = ()
+    cold: ColdReport | None = None
 
 
 class GatewayPlaces(RoutingMessage):
@@ -105,13 +109,15 @@
     rates : tuple of RateGrant
         Limits of server processes, and the requests that the receiver may send.
     term : int
-        Term of the leader that grants them, and places.
+        Term of the leader that grants them, places, and requests to cold servers.
     brittle : tuple of BrittleReport
         Services whose servers are brittle.
     is_partial : bool
         Whether the message tells `rates` and `brittle` only.
     grants_places : bool
         Whether the sender leads and answers `GatewayPlaces`.
+    cold : ColdAnswer or None
+        None while no server is cold, or from a coordinator that does not lead.
     """
 
     work_ms: dict[BackendServerId, float]
@@ -122,6 +128,7 @@
     brittle: tuple[BrittleReport, ...] = ()
     is_partial: bool = False
     grants_places: bool = False
+    cold: ColdAnswer | None = None
 
 
 class UsageRecorded(RoutingMessage):
