--- a/test/platform/test_names.py
+++ b/test/platform/test_names.py
@@ -7,9 +7,10 @@
 PACKAGE = ROOT / "turmericreel"
 WIRE_NAMES = re.compile(
     r"Turmericreel-(Model\b|Token-Count|Prefix-Hash|Not-Executed|Backend-|Expect-|"
-    r"Tenant|Retain|Pin-|Kv-|Length-Hint|Confidence|Weight-Versions|Attempt-Id)"
+    r"Tenant|Retain|Pin-|Warmup-|Kv-|Length-Hint|Confidence|Weight-Versions|Attempt-Id)"
     r"|/-/(configuration|rollouts|instances|readiness|resolution)"
-    r"|\b(PathPrefix|TrafficSplit|ApiKeys|HeartbeatAddress|SeedNodes|ControlPlane)\b"
+    r"|\b(PathPrefix|TrafficSplit|ApiKeys|HeartbeatAddress|SeedNodes|ControlPlane"
+    r"|Warmup\w+)\b"
 )
 
 
--- a/turmericreel/coordinator/cold_distributor.py
+++ b/turmericreel/coordinator/cold_distributor.py
@@ -7,7 +7,12 @@
 from eliot import log_message
 
 from turmericreel.decisions.cold_grants import ColdGrants, ColdProcess
-from turmericreel.decisions.cold_servers import ColdLimit, KnownCold, limits_by_service
+from turmericreel.decisions.cold_servers import (
+    PRESUMED_COLD_S,
+    ColdLimit,
+    KnownCold,
+    limits_by_service,
+)
 from turmericreel.model.cold_server import ColdAnswer, ColdReport
 from turmericreel.model.ids import InstanceId, Revision, ServiceName
 from turmericreel.model.registered_server import RegisteredServer
@@ -44,6 +49,8 @@
         None unless this coordinator led in `term`.
     term : int
         Latest term in which this coordinator led.
+    n_granted : int
+        Requests granted since the start.
     """
 
     def __init__(
@@ -63,6 +70,7 @@
         self.known = KnownCold()
         self.grants: ColdGrants | None = None
         self.term = 0
+        self.n_granted = 0
         self.newest = LimitsOfRevision(revision=Revision(0), limits={})
 
     def record(self, servers: Iterable[RegisteredServer]) -> None:
@@ -78,6 +86,12 @@
                     left_ms=server.warmup_left_ms,
                 )
 
+    def presume_cold(self, servers: Iterable[RegisteredServer]) -> None:
+        """Take servers for cold that may be, until their heartbeats tell."""
+        now = self.clock.monotonic()
+        for server in servers:
+            self.known.extend(server, cold_s=PRESUMED_COLD_S, now=now)
+
     def receive(self, gateway: InstanceId, report: ColdReport) -> None:
         """Record what a gateway wants to send."""
         if self.grants is not None:
@@ -128,11 +142,10 @@
         }
         if not cold:
             return {}
-        return self.grants.answer(cold, gateways=gateways, now=now)
-
-    def n_granted(self) -> int:
-        """Return the number of requests that were granted in the latest term."""
-        return self.grants.n_granted if self.grants is not None else 0
+        before = self.grants.n_granted
+        answers = self.grants.answer(cold, gateways=gateways, now=now)
+        self.n_granted += self.grants.n_granted - before
+        return answers
 
     def n_cold(self) -> int:
         """Return the number of cold server processes."""
--- a/turmericreel/coordinator/metrics.py
+++ b/turmericreel/coordinator/metrics.py
@@ -2,9 +2,14 @@
 
 from collections.abc import Iterator
 
-from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
 from prometheus_client.registry import Collector
 
+from turmericreel.coordinator.cold_distributor import ColdDistributor
 from turmericreel.state.routing_machine import RoutingMachine
 
 LABELS = ("account", "service", "version", "model")
@@ -36,3 +41,28 @@
                 values = [str(getattr(key, label)) for label in LABELS]
                 family.add_metric(values, getattr(amounts, name))
             yield family
+
+
+class ColdCollector(Collector):
+    """Cold servers and the requests that this coordinator granted of them.
+
+    Parameters
+    ----------
+    cold : ColdDistributor
+    """
+
+    def __init__(self, *, cold: ColdDistributor):
+        self.cold = cold
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the gauge and the counter."""
+        yield GaugeMetricFamily(
+            "turmericreel_coordinator_cold_servers",
+            "Servers that are cold.",
+            value=self.cold.n_cold(),
+        )
+        yield CounterMetricFamily(
+            "turmericreel_coordinator_cold_granted",
+            "Requests of cold servers that were granted since the start.",
+            value=self.cold.n_granted,
+        )
--- a/turmericreel/fakes/routed_server.py
+++ b/turmericreel/fakes/routed_server.py
@@ -137,6 +137,10 @@
     rate_limit : str
         Requests a second that all answers name as the server's limit; empty for none.
         It ends with the process.
+    load_report : str
+        Running requests, waiting requests and slots that all answers report.
+    cold_ms : str
+        For how much longer all answers say that the server is cold; empty if not.
     n_places : int or None
         Requests that run at the same time; None for any number.
     n_queued : int
@@ -196,6 +200,8 @@
         self.answers_before_end = False
         self.end_delay_s = 0.0
         self.rate_limit = ""
+        self.cold_ms = ""
+        self.load_report = "1,0,4"
         self.n_places: int | None = None
         self.n_queued = 1
         self.work_s = 0.0
@@ -282,11 +288,13 @@
         headers = [(self.names.attempt_id, self._header(environ, "attempt_id"))]
         if self.names.signature:
             headers.append((self.names.signature, self.server))
-        headers += [(self.names.load, "1,0,4"), ("X-Served-By", self.server)]
+        headers += [(self.names.load, self.load_report), ("X-Served-By", self.server)]
         if self.is_leaving:
             headers.append((self.names.leaving, "1"))
         if self.rate_limit:
             headers.append((self.names.rate_limit, self.rate_limit))
+        if self.cold_ms:
+            headers.append((self.names.cold_ms, self.cold_ms))
         if self.max_refusals is not None:
             headers.append((self.names.brittle, f"{self.max_refusals:g}"))
         fault = self.misbehaviours.popleft() if self.misbehaviours else None
--- a/turmericreel/platform/coordinator.py
+++ b/turmericreel/platform/coordinator.py
@@ -12,7 +12,7 @@
 
 from turmericreel.coordination.raft.metrics import RaftCollector
 from turmericreel.coordinator.coordinator import Coordinator
-from turmericreel.coordinator.metrics import UsageCollector
+from turmericreel.coordinator.metrics import ColdCollector, UsageCollector
 from turmericreel.model.failures import Failure, FailureError, ListenFailed
 from turmericreel.platform.configuration import PlatformCodec
 from turmericreel.platform.control_handlers import ControlHandlers
@@ -67,6 +67,7 @@
     metrics = build_metrics(process_settings.ip)
     metrics.registry.register(RaftCollector(log=coordinator.log))
     metrics.registry.register(UsageCollector(machine=coordinator.machine))
+    metrics.registry.register(ColdCollector(cold=coordinator.hub.cold))
     try:
         coordinator.start()
         listener.start()
