--- a/test/platform/test_configuration.py
+++ b/test/platform/test_configuration.py
@@ -53,6 +53,8 @@
             "HealthCheck": "/h",
             "MaxConnections": 10,
             "Protocol": "h1",
+            "WarmupS": 3.0,
+            "WarmupPerS": 10.0,
             "Runtime": {
                 "Slots": 64,
                 "KvCapacity": 1_000,
@@ -296,6 +298,26 @@
     assert (coordinator.internal_port, coordinator.raft_port) == (7_000, 7_001)
 
 
+def test_cold_rate_comes_from_the_configuration_and_its_bounds_from_settings(tmp_path):
+    decoded = PlatformCodec().decode(json.dumps(BODY).encode())
+    assert [s.cold_rate for s in decoded.services] == [10.0, None]
+    for without in (0, 0.0, None):
+        backend = {**BODY["Backends"][0], "WarmupPerS": without}
+        body = {**BODY, "Backends": [backend, BODY["Backends"][1]]}
+        decoded = PlatformCodec().decode(json.dumps(body).encode())
+        assert decoded.services[0].cold_rate is None
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    strictest = gateway_settings(read_settings(path)).cold_bounds
+    assert (strictest.overshoot, strictest.slack) == (1.0, 0.0)
+    bounds = {**SETTINGS["Bounds"], "WarmupOvershoot": 1.5, "WarmupSlack": 5}
+    path.write_text(json.dumps({**SETTINGS, "Bounds": bounds}))
+    settings = read_settings(path)
+    for translated in (gateway_settings(settings), coordinator_settings(settings)):
+        assert translated.cold_bounds.overshoot == 1.5
+        assert translated.cold_bounds.slack == 5
+
+
 def test_coordinator_outside_its_seeds_is_no_founder(tmp_path):
     path = tmp_path / "settings.json"
     path.write_text(json.dumps({**SETTINGS, "SeedNodes": ["10.0.0.2:81"]}))
--- a/test/routing/test_server_registry.py
+++ b/test/routing/test_server_registry.py
@@ -212,3 +212,29 @@
         kept = lists.agreed_gateways()
         assert lists.agreed_gateways() is kept
         assert kept == lists._count_votes()
+
+
+def test_heartbeat_that_only_counts_the_warm_up_down_is_no_change():
+    servers = registry()
+    assert servers.record_report(make_server(sequence=1, cold_ms=3_000), now=0.0)
+    assert not servers.record_report(make_server(sequence=2, cold_ms=2_000), now=1.0)
+    assert not servers.record_report(make_server(sequence=3, cold_ms=900), now=2.2)
+    assert not servers.record_report(make_server(sequence=4), now=3.1)
+
+
+def test_server_that_gets_cold_again_or_is_warm_early_is_a_change():
+    servers = registry()
+    servers.record_report(make_server(sequence=1), now=0.0)
+    assert servers.record_report(make_server(sequence=2, cold_ms=3_000), now=1.0)
+    assert servers.record_report(make_server(sequence=3, cold_ms=3_000), now=2.0)
+    assert servers.record_report(make_server(sequence=4), now=3.0)
+    assert not servers.record_report(make_server(sequence=5), now=4.0)
+
+
+def test_registration_is_passed_on_with_the_warm_up_that_is_left():
+    servers = registry()
+    servers.record_report(make_server(sequence=1, cold_ms=3_000), now=0.0)
+    (server,) = servers.current_servers(now=1.0)
+    assert server.warmup_left_ms == 2_000
+    (server,) = servers.current_servers(now=5.0)
+    assert server.warmup_left_ms == 0
--- a/turmericreel/decisions/cold_grants.py
+++ b/turmericreel/decisions/cold_grants.py
@@ -22,7 +22,7 @@
 from turmericreel.model.server_crash import ServerProcess
 
 # Grants may be saved up for this time.
-BURST_S = 0.2
+BURST_S = 0.3
 # Time over which the requests of a gateway are averaged.
 DEMAND_DECAY_S = 1.0
 MIN_DEMAND = 0.01
--- a/turmericreel/platform/configuration.py
+++ b/turmericreel/platform/configuration.py
@@ -172,7 +172,7 @@
         health_path=entry.health_check,
         max_connections=entry.max_connections,
         engine=_engine(entry.runtime) if entry.runtime is not None else None,
-        cold_rate=entry.warmup_per_s if entry.warmup_per_s > 0 else None,
+        cold_rate=entry.warmup_per_s if (entry.warmup_per_s or 0) > 0 else None,
     )
 
 
--- a/turmericreel/platform/wire.py
+++ b/turmericreel/platform/wire.py
@@ -79,7 +79,7 @@
     name: str
     health_check: str = ""
     max_connections: Count = 0
-    warmup_per_s: Weight = 0
+    warmup_per_s: Weight | None = None
     runtime: RuntimeEntry | None = None
 
 
