--- a/test_long/routing_soak.py
+++ b/test_long/routing_soak.py
@@ -37,12 +37,14 @@
 from test_long.soak_checks import (
     CONTACT_S,
     BrittlePeriod,
+    ColdPeriod,
     GatewayState,
     GatewayStates,
     LimitedPeriod,
     QuietPeriod,
     StopPeriod,
     check_brittle_periods,
+    check_cold_periods,
     check_ends,
     check_first_tries,
     check_limited_periods,
@@ -52,6 +54,8 @@
 )
 from test_long.soak_traffic import (
     BRITTLE_SERVICE,
+    COLD_RATE,
+    COLD_SERVICE,
     FATAL_PARTS,
     HEARTBEAT_S,
     LIMITED_SERVICE,
@@ -75,11 +79,12 @@
 # Five coordinators with a disk tolerate the loss of two disks.
 MAX_DISK_LOSSES = 2
 N_GATEWAYS = 4
-# Servers that end under some requests, and those of other services that name rates and
-# that are brittle.
+# Servers that end under some requests, and those of other services that name rates,
+# that are brittle and that get cold.
 N_SERVERS = 3
 N_LIMITED_SERVERS = 2
 N_BRITTLE_SERVERS = 2
+N_COLD_SERVERS = 2
 N_CLIENTS = 8
 # Time within which requests must succeed again after the last fault.
 MAX_RECOVERY_S = 12.0
@@ -98,6 +103,12 @@
 # Rates that servers name, in requests a second, and for how long in seconds.
 LIMITS = (0.0, 6.0)
 LIMITED_S = (5.0, 9.0)
+# Bounds on requests to cold servers, for how long these are cold in seconds, and the
+# load of such a period in requests a second.
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 3
+COLD_S = (5.0, 8.0)
+COLD_LOAD = 40.0
 # Of the gateways, those that are cut off together, and for how long in seconds.
 MAX_CUT_OFF = 2
 CUT_S = (4.0, 7.0)
@@ -172,7 +183,17 @@
         for server in self.brittle_servers:
             server.n_places, server.n_queued = N_PLACES, N_QUEUED
             server.work_s = PLACE_S
-        self.servers = self.ending_servers + self.limited_servers + self.brittle_servers
+        self.cold_servers = [
+            _build_server(f"{COLD_SERVICE}-{n}") for n in range(N_COLD_SERVERS)
+        ]
+        self.servers = [
+            *self.ending_servers,
+            *self.limited_servers,
+            *self.brittle_servers,
+            *self.cold_servers,
+        ]
+        self.cold_until: dict[str, float] = {}
+        self.cold_periods: list[ColdPeriod] = []
         self.proxies: list[LoopbackProxy] = []
         self.findings = Findings()
         self.numbers = count(1)
@@ -218,6 +239,7 @@
                     spawn(self._inject_limits, server)
                     for server in self.limited_servers
                 ),
+                spawn(self._inject_cold_periods),
             ]
             tasks += [spawn(self._restart_ended_processes)]
             tasks += [spawn(self._lose_core)]
@@ -231,6 +253,11 @@
             check_ends(self.servers, self.findings)
             check_quiet_periods(self.quiet_periods, len(self.gateways), self.findings)
             check_limited_periods(self.limited_periods, self.findings)
+            check_cold_periods(
+                self.cold_periods,
+                max_in_second=COLD_RATE * COLD_OVERSHOOT + COLD_SLACK,
+                findings=self.findings,
+            )
             check_stops(self.stop_periods, self.findings)
             check_brittle_periods(
                 self.brittle_periods, self.gateway_history, self.findings
@@ -265,7 +292,13 @@
             "Bootstrap": True,
             "DataDir": str(self.folder / host) if has_disk else None,
             "HeartbeatMs": int(HEARTBEAT_S * 1_000),
-            "Bounds": {"GraceS": 3, "RetryBudgetRatio": 0.9, "ttl_max_s": 0.5},
+            "Bounds": {
+                "GraceS": 3,
+                "RetryBudgetRatio": 0.9,
+                "ttl_max_s": 0.5,
+                "WarmupOvershoot": COLD_OVERSHOOT,
+                "WarmupSlack": COLD_SLACK,
+            },
         }
         return PlatformProcess(
             program=program, host=host, folder=self.folder, settings=settings
@@ -304,6 +337,9 @@
                     address=self.proxies[number].address,
                     sequence=sequence,
                     coordinators=self.rng.sample(self.control, len(self.control)),
+                    cold_s=max(
+                        self.cold_until.get(server.server, 0.0) - monotonic(), 0.0
+                    ),
                 )
             sleep(HEARTBEAT_S)
         caller.close()
@@ -381,6 +417,24 @@
                 LimitedPeriod(server=server, rate=rate, began=began, ended=monotonic())
             )
 
+    def _inject_cold_periods(self) -> None:
+        """Let servers get cold together or alone, under a load of their own."""
+        while self.clients_running:
+            sleep(self.rng.uniform(0.0, 2.0))
+            n_cold = self.rng.randint(1, len(self.cold_servers))
+            chosen = self.rng.sample(self.cold_servers, n_cold)
+            began = monotonic()
+            ended = began + self.rng.uniform(*COLD_S)
+            for server in chosen:
+                self.cold_until[server.server] = ended
+            while self.clients_running and monotonic() < ended:
+                spawn(self._send_to, COLD_SERVICE)
+                sleep(1 / COLD_LOAD)
+            self.cold_periods += [
+                ColdPeriod(server=server, began=began, ended=monotonic())
+                for server in chosen
+            ]
+
     def _inject_silence(self) -> None:
         """Let sound servers fall silent for a second and go on."""
         while self.clients_running:
@@ -441,7 +495,7 @@
             for server in self.brittle_servers:
                 server.max_refusals = MAX_REFUSALS
             while self.clients_running and monotonic() < ended:
-                spawn(self._send_to_brittle)
+                spawn(self._send_to, BRITTLE_SERVICE)
                 sleep(1 / load)
                 if monotonic() > began + CONTACT_S:
                     for server in self.brittle_servers:
@@ -454,10 +508,10 @@
                 )
             )
 
-    def _send_to_brittle(self) -> None:
+    def _send_to(self, service: str) -> None:
         client = self._client()
-        outcome = client.request(BRITTLE_SERVICE)
-        self.findings.outcomes[f"{BRITTLE_SERVICE} {outcome}"] += 1
+        outcome = client.request(service)
+        self.findings.outcomes[f"{service} {outcome}"] += 1
         client.caller.close()
 
     def _inject_link_faults(self) -> None:
--- a/test_long/soak_checks.py
+++ b/test_long/soak_checks.py
@@ -158,6 +158,34 @@
             )
 
 
+@dataclass(frozen=True, kw_only=True)
+class ColdPeriod:
+    """Time in which a server is cold, in seconds on the monotonic clock."""
+
+    server: RoutedServer
+    began: float
+    ended: float
+
+
+def check_cold_periods(
+    periods: Sequence[ColdPeriod], *, max_in_second: float, findings: Findings
+) -> None:
+    """Check that cold servers got no more in any second than they take."""
+    for period in periods:
+        findings.outcomes["cold periods"] += 1
+        known_at = period.began + RATE_LEARNING_TIME_S
+        times = [at for at in period.server.received_at if known_at < at < period.ended]
+        findings.outcomes["requests while cold"] += len(times)
+        most = max(
+            (sum(first <= at < first + 1.0 for at in times) for first in times),
+            default=0,
+        )
+        if most > max_in_second:
+            findings.faults.append(
+                f"{period.server.server} got {most} requests in a second while cold"
+            )
+
+
 class GatewayState(Enum):
     """What a soak does to a gateway; `TROUBLED` ones are killed, paused or stopped."""
 
--- a/test_long/soak_traffic.py
+++ b/test_long/soak_traffic.py
@@ -39,6 +39,9 @@
 # Service of the servers that name rates.
 LIMITED_SERVICE = "limited"
 BRITTLE_SERVICE = "brittle"
+# Service of the servers that get cold, and what these take in a second meanwhile.
+COLD_SERVICE = "cold"
+COLD_RATE = 4.0
 N_SLOTS = 8
 REQUEST_KINDS = ("safe", "unsafe", "stream")
 LIMITED_FRACTION = 0.3
@@ -339,7 +342,7 @@
 
 def service_of(server: RoutedServer) -> str:
     """Return the service of a server, with which the ids of some begin."""
-    for service in (LIMITED_SERVICE, BRITTLE_SERVICE):
+    for service in (LIMITED_SERVICE, BRITTLE_SERVICE, COLD_SERVICE):
         if server.server.startswith(service):
             return service
     return SERVICE
@@ -352,6 +355,7 @@
     address: str,
     sequence: int,
     coordinators: Sequence[str],
+    cold_s: float = 0.0,
 ) -> None:
     """Send a heartbeat of a server to the first coordinator that accepts it."""
     heartbeat = {
@@ -361,6 +365,7 @@
         "Version": "v1",
         "Slots": server.n_places or N_SLOTS,
         "State": "ready",
+        "WarmupLeftMs": int(cold_s * 1_000),
         "Sequence": sequence,
         "born": server.born_ms,
     }
@@ -397,11 +402,15 @@
             route("stream", "streaming", MaxAttempts=3, StreamResume=True),
             route(LIMITED_SERVICE, "safe", MaxAttempts=3, Backend=LIMITED_SERVICE),
             route(BRITTLE_SERVICE, "unsafe", Backend=BRITTLE_SERVICE),
+            route(COLD_SERVICE, "safe", MaxAttempts=3, Backend=COLD_SERVICE),
             *(route(f"more-{n}", "safe") for n in range(n_more_routes)),
         ],
         "Backends": [
-            {"Name": name, "HealthCheck": "/h"}
-            for name in (SERVICE, LIMITED_SERVICE, BRITTLE_SERVICE)
+            *(
+                {"Name": name, "HealthCheck": "/h"}
+                for name in (SERVICE, LIMITED_SERVICE, BRITTLE_SERVICE)
+            ),
+            {"Name": COLD_SERVICE, "HealthCheck": "/h", "WarmupPerS": COLD_RATE},
         ],
     }
     return msgspec.json.encode(body)
