Merge limits for cold servers; presume a returned data centre cold

An evacuation that is withdrawn makes servers usable again that may have got cold shortly before, which only their next heartbeat tells. Gateways and coordinators take those of services with a limit for cold until then.

test_servers_of_a_returned_data_centre_count_as_cold_until_they_report fails without it: no server counted as cold after the withdrawal.

--- a/turmericreel/coordinator/coordinator.py
+++ b/turmericreel/coordinator/coordinator.py
@@ -13,6 +13,7 @@
     DiscoveringTransport,
     PeerListener,
 )
+from turmericreel.coordinator.cold_distributor import ColdDistributor
 from turmericreel.coordinator.evacuation_orders import EvacuationOrders
 from turmericreel.coordinator.hub import Hub
 from turmericreel.coordinator.rollout_task import RolloutTask
@@ -151,6 +152,13 @@
             registry=ServerRegistry(expiry_s=expiry_s),
             heartbeat=self.heartbeat,
             clock=clock,
+            cold=ColdDistributor(
+                codec=codec,
+                bounds=settings.cold_bounds,
+                holds_lease=self.log.is_leader,
+                clock=clock,
+                rng=SystemRandom(),
+            ),
         )
         self.rollouts = RolloutTask(
             log=self.log,
--- a/turmericreel/coordinator/hub.py
+++ b/turmericreel/coordinator/hub.py
@@ -13,6 +13,7 @@
 from gevent.event import Event
 from msgspec.structs import replace
 
+from turmericreel.coordinator.cold_distributor import ColdDistributor
 from turmericreel.coordinator.crash_records import CrashRecords
 from turmericreel.coordinator.place_distributor import PlaceDistributor, newest_reports
 from turmericreel.decisions.evacuation import EvacuatedDataCentres
@@ -21,6 +22,7 @@
 from turmericreel.membership.instance_registry import GatewayInstance
 from turmericreel.membership.server_registry import ServerRegistry
 from turmericreel.model.brittle_service import BrittleReport
+from turmericreel.model.cold_server import ColdAnswer
 from turmericreel.model.evacuation import Evacuation
 from turmericreel.model.ids import (
     BackendServerId,
@@ -88,6 +90,8 @@
     heartbeat : callable
         Returns the current heartbeat message.
     clock : Clock
+    cold : ColdDistributor or None
+        None if nothing limits the requests of cold servers.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         registry: ServerRegistry,
         heartbeat: Callable[[], Beat],
         clock: Clock,
+        cold: ColdDistributor | None = None,
     ):
         self.instance = instance
         self.machine = machine
@@ -105,6 +110,7 @@
         self.heartbeat = heartbeat
         self.clock = clock
         self.now = clock.monotonic
+        self.cold = cold
         self.gateways: dict[InstanceId, GatewayEntry] = {}
         self.gateways_of_peers: dict[InstanceId, dict[InstanceId, GatewayInstance]] = {}
         self.changed_gateways: set[InstanceId] = set()
@@ -140,6 +146,7 @@
         """
         self.restored = state
         self.registry.restore(state.servers, now=self.now(), expiry_s=expiry_s)
+        self._record_cold(self.registry.servers.values())
         self.crashes.restore(state.crashes)
 
     def hold_distributed_state(self) -> None:
@@ -172,6 +179,7 @@
         else:
             self.unchanged_heartbeats[reported.server] = reported
         if self.registry.servers.get(reported.server) is reported:
+            self._record_cold([reported])
             self._publish_crashes(self.crashes.record_heartbeat(reported))
 
     def receive_crashes(self, reports: Iterable[CrashReport]) -> None:
@@ -193,6 +201,8 @@
         """Record registrations that another coordinator received."""
         now = self.now()
         changed = [s for s in servers if self.registry.record_report(s, now=now)]
+        known = self.registry.servers
+        self._record_cold(s for s in servers if known.get(s.server) is s)
         if changed:
             self._send_to_gateways(Servers(servers=tuple(changed)))
 
@@ -205,7 +215,11 @@
     def send_unchanged_heartbeats(self) -> None:
         """Send unchanged heartbeats to the other coordinators in one message."""
         if self.unchanged_heartbeats:
-            message = Servers(servers=tuple(self.unchanged_heartbeats.values()))
+            now = self.now()
+            servers = self.unchanged_heartbeats.values()
+            message = Servers(
+                servers=tuple(self.registry.current(s, now=now) for s in servers)
+            )
             self.unchanged_heartbeats = {}
             for peer in self.peers.values():
                 peer.send(message)
@@ -245,6 +259,8 @@
             entry.brittle = work.brittle
             self.health.record_report(instance, work.outcomes, now=self.now())
             self.rates.record_report(instance, work.rates, now=self.now())
+            if self.cold is not None and work.cold is not None:
+                self.cold.receive(instance, work.cold)
 
     def receive_places(
         self, instance: InstanceId, report: PlaceReport, session: Session
@@ -276,7 +292,7 @@
     def add_peer(self, instance: InstanceId, session: Session) -> None:
         """Add a coordinator and send it all registrations and own gateways."""
         self.peers[instance] = session
-        session.send(Servers(servers=tuple(self.registry.servers.values())))
+        session.send(Servers(servers=self.registry.current_servers(now=self.now())))
         session.send(ServerCrashes(crashes=tuple(self.crashes.reports())))
         own = tuple(e.status.gateway for e in self.gateways.values())
         session.send(Gateways(gateways=own, complete=True))
@@ -341,6 +357,7 @@
         if self.evacuations_pending:
             self.evacuations_pending = False
             evacuations = self._evacuations()
+            self._presume_returned_cold(evacuations)
             self.sent_evacuations = evacuations.evacuations
             self._send_to_gateways(evacuations)
         if self.changed_own_gateways:
@@ -402,8 +419,9 @@
         leaving = tuple({p for e in self.gateways.values() for p in e.leaving})
         # Without a leader, several coordinators would grant the same requests.
         grants = self._grant_rates() if is_leader else {}
+        cold = self._cold_answers(beat.term)
         grants_places = self.places.grants is not None
-        has_content = bool(total or suspended or leaving or grants or brittle)
+        has_content = bool(total or suspended or leaving or grants or brittle or cold)
         if not has_content and not self.work_sent:
             return
         self.work_sent = has_content
@@ -417,9 +435,26 @@
         )
         for instance, entry in list(self.gateways.items()):
             rates = grants.get(instance, ())
-            message = replace(work, rates=rates, term=beat.term) if rates else work
+            answer = cold.get(instance)
+            message = work
+            if rates or answer is not None:
+                message = replace(work, rates=rates, cold=answer, term=beat.term)
             entry.session.send(message)
 
+    def _record_cold(self, servers: Iterable[RegisteredServer]) -> None:
+        if self.cold is not None:
+            self.cold.record(servers)
+
+    def _cold_answers(self, term: int) -> dict[InstanceId, ColdAnswer]:
+        """Return the grants of cold servers, for the gateways connected here."""
+        if self.cold is None or not self.cold.has_cold():
+            return {}
+        source = self._routing_source()
+        if source.revision:
+            self.cold.update_limits(source.revision, source.document)
+        servers = self.registry.servers.values()
+        return self.cold.answers(servers, self.gateways, term=term)
+
     def _grant_rates(self) -> dict[InstanceId, tuple[RateGrant, ...]]:
         if not self.rates.known.limits:
             return {}
@@ -486,7 +521,8 @@
             messages.append(
                 ServerWork(work_ms={}, rates=limits, brittle=brittle, is_partial=True)
             )
-        servers = tuple(self.registry.servers.values())
+        # With the time for which cold ones are cold from now on.
+        servers = self.registry.current_servers(now=self.now())
         messages.append(Servers(servers=servers))
         messages.append(self._all_gateways())
         return messages
@@ -519,6 +555,16 @@
                 newest[rollout.service] = rollout
         return Rollouts(rollouts=tuple(newest.values()))
 
+    def _presume_returned_cold(self, evacuations: Evacuations) -> None:
+        """Servers of a data centre that is used again may have got cold meanwhile."""
+        if self.cold is None:
+            return
+        returned = _evacuated(self.sent_evacuations) - _evacuated(
+            evacuations.evacuations
+        )
+        servers = self.registry.servers.values()
+        self.cold.presume_cold(s for s in servers if s.data_centre in returned)
+
     def _evacuations(self) -> Evacuations:
         newest = EvacuatedDataCentres()
         newest.receive(self.restored.evacuations)
@@ -589,6 +635,10 @@
             entry.session.send(message)
 
 
+def _evacuated(evacuations: Iterable[Evacuation]) -> set[DataCentreId]:
+    return {e.data_centre for e in evacuations if e.is_evacuated}
+
+
 def _gateway_changes(
     instances: set[InstanceId],
     newest: Callable[[InstanceId], GatewayInstance | None],
--- a/turmericreel/gateway/view.py
+++ b/turmericreel/gateway/view.py
@@ -66,6 +66,10 @@
     on_server_ended : callable
         Called with the last registration of each server process that ended without
         being deregistered.
+    on_servers : callable
+        Called with the registrations that are newer than those known.
+    on_returned : callable
+        Called with the servers of a data centre whose evacuation was withdrawn.
     """
 
     def __init__(
@@ -77,6 +81,8 @@
         on_places: Callable[[PlaceAnswer], None],
         on_crashes: Callable[[tuple[CrashReport, ...]], None],
         on_server_ended: Callable[[RegisteredServer], None],
+        on_servers: Callable[[list[RegisteredServer]], None] = lambda servers: None,
+        on_returned: Callable[[list[RegisteredServer]], None] = lambda servers: None,
     ):
         self.codec = codec
         self.on_usage_recorded = on_usage_recorded
@@ -84,6 +90,8 @@
         self.on_places = on_places
         self.on_crashes = on_crashes
         self.on_server_ended = on_server_ended
+        self.on_servers = on_servers
+        self.on_returned = on_returned
         self.table: RouteTable | None = None
         self.servers: dict[BackendServerId, RegisteredServer] = {}
         self.by_service: dict[ServiceName, list[RegisteredServer]] = {}
@@ -141,9 +149,7 @@
             case Rollouts():
                 return self._receive_rollouts(message)
             case Evacuations():
-                newer = self.evacuations.receive(message.evacuations)
-                _log_evacuations(newer)
-                return bool(newer)
+                return self._receive_evacuations(message)
             case Gateways():
                 self.gateway_lists.record_report(
                     source,
@@ -205,17 +211,30 @@
         )
         return True
 
+    def _receive_evacuations(self, message: Evacuations) -> bool:
+        before = self.evacuations.evacuated
+        newer = self.evacuations.receive(message.evacuations)
+        _log_evacuations(newer)
+        returned = before - self.evacuations.evacuated
+        if returned:
+            servers = self.servers.values()
+            self.on_returned([s for s in servers if s.data_centre in returned])
+        return bool(newer)
+
     def _receive_servers(self, message: Servers) -> bool:
         changed = False
+        newer = []
         for server in message.servers:
             known = self.servers.get(server.server)
             if known is not None and not server.supersedes(known):
                 continue
             self.servers[server.server] = server
+            newer.append(server)
             self._report_ended_servers(server, known)
             if known is None or _is_other_process(server, known):
                 changed = True
                 _log_server(server)
+        self.on_servers(newer)
         if changed or message.servers:
             self._index_servers()
         return changed
--- a/turmericreel/platform/coordinator.py
+++ b/turmericreel/platform/coordinator.py
@@ -12,7 +12,11 @@
 
 from turmericreel.coordination.raft.metrics import RaftCollector
 from turmericreel.coordinator.coordinator import Coordinator
-from turmericreel.coordinator.metrics import EvacuationCollector, UsageCollector
+from turmericreel.coordinator.metrics import (
+    ColdCollector,
+    EvacuationCollector,
+    UsageCollector,
+)
 from turmericreel.model.failures import Failure, FailureError, ListenFailed
 from turmericreel.platform.configuration import PlatformCodec
 from turmericreel.platform.control_handlers import ControlHandlers
@@ -69,6 +73,7 @@
     metrics.registry.register(RaftCollector(log=coordinator.log))
     metrics.registry.register(UsageCollector(machine=coordinator.machine))
     metrics.registry.register(EvacuationCollector(machine=coordinator.machine))
+    metrics.registry.register(ColdCollector(cold=coordinator.hub.cold))
     try:
         coordinator.start()
         listener.start()
