Check what follows an interim answer to a HEAD request

Cause: geventhttpclient drops bytes after any head of an answer to HEAD as a body that should not be there, and remembers it after an interim head too. Bytes that are no answer were then read until the deadline, as was a final head with an impossible status. Change: only a final head counts. The two new cases of test_impossible_answers.py fail before it; a switch of protocols (101), also tested at both doors, failed as it should before.

--- a/test/routing/test_impossible_answers.py
+++ b/test/routing/test_impossible_answers.py
@@ -9,6 +9,7 @@
 from gevent import sleep
 from gevent.server import StreamServer
 from gevent.socket import create_connection, socket, socketpair
+from geventhttpclient.response import HTTPParseError
 
 from test.accounts.scripted_server import (
     IDENTITY_HEADERS,
@@ -31,6 +32,7 @@
     routes,
 )
 from turmericreel.entry.pieces import WholeAnswer
+from turmericreel.entry.server_answer import _ResponseParser
 from turmericreel.entry.server_client import ServerClient
 from turmericreel.gateway.relay_listener import RelayListener
 from turmericreel.model.failures import FailureError, OutcomeUnknown
@@ -171,6 +173,20 @@
         read_answer(data + whole_answer(b"answer"), door, piece=65_536)
 
 
+@pytest.mark.parametrize("door", ["gateway", "entry"])
+def test_switch_of_protocols_that_nobody_asked_for_fails_at_both_doors(door):
+    with pytest.raises(FailureError, match="malformed"):
+        read_answer(b"HTTP/1.1 101 Switching\r\n\r\nanswer", door, piece=65_536)
+
+
+@pytest.mark.parametrize("following", [b"HTTP/1.1 000 None\r\n\r\n", b"no answer"])
+def test_bytes_after_an_interim_answer_to_a_head_request_are_checked(following):
+    # Guards against a wait until the deadline: the answer itself has not begun yet.
+    parser = _ResponseParser(method="HEAD")
+    with pytest.raises(HTTPParseError):
+        parser.feed(INTERIM + following)
+
+
 @pytest.mark.parametrize("status", IMPOSSIBLE)
 def test_entry_passes_no_impossible_status_on(status):
     script = send_and_keep_open(whole_answer(b"booked", status=status))
--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -54,7 +54,11 @@
         if not self.has_extra_bytes:
             self._check_status_line()
             self.status = self.get_code()
-        return super()._on_headers_complete()
+        skips_body = super()._on_headers_complete()
+        if self.status < MIN_FINAL_STATUS:
+            # Only bytes after a final head may be dropped as its body.
+            self._message_ended_in_skip_body = False
+        return skips_body
 
     def _check_status_line(self) -> None:
         """Raise `HTTPProtocolViolationError` if no answer has this status line."""
