--- a/test/routing/test_impossible_answers.py
+++ b/test/routing/test_impossible_answers.py
@@ -316,6 +316,7 @@
         address=Address(host="127.0.0.1", port=0),
         gateways=list,
         is_registered=lambda address: True,
+        is_evacuated=lambda address: False,
         paths=None,
         clock=SystemClock(),
     )
