Bound the bytes that clients make a process hold at its doors

Cause: each listener read bodies up to the limit for as many clients as came, in pieces that took many times their size, copied them for each attempt, and let connections at each listener take descriptors of its own. Change: one bound in bytes for all listeners of a process (DoorMemory); a body is read once there is room for all of it, else answered 503 as not run; one that stands still, or an answer that is not read, yields to others, the longest standing first. Connections of all listeners together fit descriptors and memory; one that waits yields to a new one. Requests without a handler are refused unread. Long bodies are not copied for attempts. The rest of a refused body is dropped for a second, so that the refusal arrives.

--- a/test/routing/test_small_decisions.py
+++ b/test/routing/test_small_decisions.py
@@ -184,13 +184,14 @@
 
 
 def encoded(headers, **options):
-    return encode_for_server(
+    parts = encode_for_server(
         make_request(headers, **options),
         names=NAMES,
         server="s1",
         left_ms=900,
         last_event_id=None,
     )
+    return b"".join(parts)
 
 
 def test_only_router_headers_of_a_forwarded_request_change():
--- a/turmericreel/entry/application.py
+++ b/turmericreel/entry/application.py
@@ -7,6 +7,7 @@
 import msgspec
 from eliot import write_traceback
 
+from turmericreel.entry.request_body import NoRoomError
 from turmericreel.model.failures import (
     CommitUnknown,
     Failure,
@@ -25,6 +26,7 @@
 from turmericreel.protocols import headers
 from turmericreel.protocols.dropped_input import DropReason, Endpoint, count_dropped
 
+NO_ROOM_RETRY_AFTER_MS = 1_000
 RAW_PATH = "turmericreel.raw_path"
 SOCKET_KEY = "turmericreel.socket"
 
@@ -154,10 +156,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Route:
-    """A handler with the methods that it serves; empty for any."""
+    """A handler with the methods that it serves; empty for any.
+
+    Parameters
+    ----------
+    reads_body : bool
+        Whether the handler needs the body; if not, it is left unread.
+    """
 
     handler: Handler
     methods: tuple[str, ...] = ()
+    reads_body: bool = True
 
 
 class CountedBody:
@@ -239,15 +248,16 @@
         header = [("Content-Type", answer.content_type), *answer.header.items()]
         if isinstance(answer.body, Sequence):
             header.append(("Content-Length", str(sum(map(len, answer.body)))))
-        if self.closing:
+        if self.closing or environ["wsgi.input"].has_unread_data():
             header.append(("Connection", "close"))
         start_response(status_line, header)
         return answer.body
 
     def _answer(self, environ: dict) -> HttpAnswer:
         try:
-            request = self._read_request(environ)
-            return self._find_handler(request)(request)
+            # A request without a handler is refused before its body is read.
+            route = self._find_route(environ["PATH_INFO"], environ["REQUEST_METHOD"])
+            return route.handler(self._read_request(environ, route))
         except FailureError as error:
             return failure_answer(error.failure)
         except Exception:
@@ -257,23 +267,19 @@
             answer.status = 500
             return answer
 
-    def _find_handler(self, request: HttpRequest) -> Handler:
-        route = self.routes.get(request.path) or self._find_prefix_route(request.path)
+    def _find_route(self, path: str, method: str) -> Route:
+        route = self.routes.get(path) or self._find_prefix_route(path)
         if route is None:
-            raise _not_run(
-                NotRunReason.UNKNOWN_SERVICE, f"no handler for path {request.path}"
-            )
-        if route.methods and request.method not in route.methods:
-            raise _not_run(
-                NotRunReason.BAD_REQUEST, f"method not allowed: {request.method}"
-            )
-        return route.handler
+            raise _not_run(NotRunReason.UNKNOWN_SERVICE, f"no handler for path {path}")
+        if route.methods and method not in route.methods:
+            raise _not_run(NotRunReason.BAD_REQUEST, f"method not allowed: {method}")
+        return route
 
     def _find_prefix_route(self, path: str) -> Route | None:
         matching = [p for p in self.routes if p.endswith("/") and path.startswith(p)]
         return self.routes[max(matching, key=len)] if matching else None
 
-    def _read_request(self, environ: dict) -> HttpRequest:
+    def _read_request(self, environ: dict, route: Route) -> HttpRequest:
         header = {
             key[5:].replace("_", "-").title(): value
             for key, value in environ.items()
@@ -286,7 +292,7 @@
             raw_path=environ.get(RAW_PATH, environ["PATH_INFO"]),
             query=environ.get("QUERY_STRING", ""),
             header=header,
-            body=self._read_body(environ),
+            body=self._read_body(environ) if route.reads_body else b"",
             peer=environ.get("REMOTE_ADDR", ""),
             socket=environ.get(SOCKET_KEY),
         )
@@ -297,6 +303,15 @@
             raise self._body_too_large()
         try:
             body = environ["wsgi.input"].read(self.body_limit_bytes + 1)
+        except NoRoomError as error:
+            count_dropped(Endpoint.HTTP, DropReason.NO_ROOM)
+            raise FailureError(
+                NotRun(
+                    reason=NotRunReason.OVERLOADED,
+                    retry_after_ms=NO_ROOM_RETRY_AFTER_MS,
+                    detail="no memory for the body",
+                )
+            ) from error
         except TimeoutError as error:
             count_dropped(Endpoint.HTTP, DropReason.BODY_TIMEOUT)
             raise _not_run(
--- a/turmericreel/entry/http_server.py
+++ b/turmericreel/entry/http_server.py
@@ -6,14 +6,29 @@
 """
 
 import contextlib
-from socket import IPPROTO_TCP, SHUT_RDWR, SHUT_WR, TCP_NODELAY
+from socket import (
+    IPPROTO_TCP,
+    SHUT_RD,
+    SHUT_RDWR,
+    SHUT_WR,
+    SO_LINGER,
+    SO_SNDBUF,
+    SOL_SOCKET,
+    TCP_NODELAY,
+)
+from struct import pack
 
 from eliot import log_message
 from gevent import sleep
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 from gevent.ssl import SSLContext, SSLError
 from gevent.timeout import Timeout
 
+from turmericreel.decisions.door_memory import (
+    DoorMemory,
+    WaitingConnection,
+    choose_connection_to_close,
+)
 from turmericreel.entry.application import (
     RAW_PATH,
     SOCKET_KEY,
@@ -21,16 +36,25 @@
     HttpAnswer,
     failure_answer,
 )
+from turmericreel.entry.request_body import BoundedInput
 from turmericreel.model.failures import NotRun, NotRunReason
 from turmericreel.model.settings import LimitsSettings
 from turmericreel.protocols.addresses import Address
 from turmericreel.protocols.dropped_input import DropReason, Endpoint, count_dropped
 from turmericreel.protocols.sockets import is_idle
+from turmericreel.util.clock import Clock, SystemClock
 
 REFUSAL_TIMEOUT_S = 0.5
 RETRY_AFTER_MS = 1_000
 MAX_DISCARD_BYTES = 65_536
 FINISH_POLL_S = 0.02
+# Of what a client does not read, the kernel holds so much beside the process.
+SEND_BUFFER_BYTES = 65_536
+# Of connections over the limit, those that still get a refusal at the same time.
+MAX_REFUSING = 32
+# Time for which the rest of a refused body is read and dropped, as closing a connection
+# with unread input would discard the refusal.
+DISCARD_S = 1.0
 
 
 class HeaderError(ValueError):
@@ -41,10 +65,6 @@
         self.reason = reason
 
 
-class BodyTimeoutError(TimeoutError):
-    """A request body did not arrive in time."""
-
-
 HEADER_STATUS = {
     DropReason.HEADER_TIMEOUT: 408,
     DropReason.HEADER_TOO_LARGE: 431,
@@ -52,6 +72,10 @@
 }
 
 
+# Takes what is read and dropped, of all connections.
+DISCARDED = bytearray(65_536)
+
+
 class LimitedLines:
     """Reads the lines of a header up to a number of bytes.
 
@@ -81,38 +105,6 @@
         return line
 
 
-class BoundedInput(Input):
-    """Request body with a timeout for each read."""
-
-    def __init__(self, *args, timeout_s: float, **options):
-        super().__init__(*args, **options)
-        self.timeout_s = timeout_s
-        self.broken = False
-
-    def read(self, length: int | None = None) -> bytes:
-        """Read up to `length` bytes.
-
-        Raises
-        ------
-        BodyTimeoutError
-        """
-        try:
-            with Timeout(self.timeout_s, BodyTimeoutError):
-                return super().read(length)
-        except OSError:
-            self.broken = True
-            raise
-
-    def has_unread_data(self) -> bool:
-        """Return whether a part of the body is unread."""
-        if self.broken or self.chunked_input:
-            return self.broken or bool(super().read(1))
-        return self.position < (self.content_length or 0)
-
-    def _discard(self) -> None:
-        """Leave the rest of the body unread; the handler closes the connection."""
-
-
 class BoundedHandler(WSGIHandler):
     """Serves one connection within the server's limits.
 
@@ -120,6 +112,9 @@
     ----------
     n_requests : int
         Requests that began to arrive on the connection.
+    waiting_since : float or None
+        Since when the client has to send a request, or its head, in seconds on the
+        monotonic clock; None while a request is served.
     """
 
     ignored_socket_errors = (*WSGIHandler.ignored_socket_errors, "timed out")
@@ -128,6 +123,7 @@
         super().__init__(sock, address, server)
         self.limits: LimitsSettings = server.limits
         self.n_requests = 0
+        self.waiting_since: float | None = None
 
     def read_requestline(self) -> str:
         """Return the request line, or ``""`` if none arrived in time."""
@@ -142,6 +138,8 @@
     def _wait_for_request(self) -> bool:
         """Wait for the first byte of a request; return whether it came in time."""
         self.server.idle_handlers.add(self)
+        self.server.waiting_handlers.add(self)
+        self.waiting_since = self.server.clock.monotonic()
         try:
             with Timeout(self.server.idle_timeout_s(), False):
                 return bool(self.rfile.peek(1))
@@ -175,23 +173,50 @@
             socket=self.wsgi_input.socket,
             chunked_input=self.wsgi_input.chunked_input,
             timeout_s=self.limits.body_timeout_ms / 1_000,
+            memory=self.server.memory,
+            on_yield=self._end_reading,
+            clock=self.server.clock,
         )
+        self.server.waiting_handlers.discard(self)
         environ["wsgi.input"] = self.wsgi_input
         environ[SOCKET_KEY] = self.socket
         environ[RAW_PATH] = self.path.partition("?")[0]
         return environ
 
+    def handle(self) -> None:
+        """Serve the requests of the connection, one after another."""
+        try:
+            super().handle()
+        finally:
+            self.server.waiting_handlers.discard(self)
+
     def handle_one_response(self) -> None:
         """Answer the request; close the connection if its body was not fully read."""
-        super().handle_one_response()
-        if not self.close_connection and self._has_unread_body():
+        try:
+            super().handle_one_response()
+        finally:
+            self.wsgi_input.release()
+        if self.wsgi_input.has_unread_data():
             self.close_connection = True
+            self._discard_input()
 
-    def _has_unread_body(self) -> bool:
-        try:
-            return self.wsgi_input.has_unread_data()
-        except OSError:
-            return True
+    def _discard_input(self) -> None:
+        """Read and drop what the client still sends, for a short time."""
+        with contextlib.suppress(OSError), Timeout(DISCARD_S, False):
+            self.socket.shutdown(SHUT_WR)
+            while self.socket.recv_into(DISCARDED):
+                pass
+
+    def _end_reading(self) -> None:
+        """End the reading of a body that yields to others, so that it is refused."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(SHUT_RD)
+
+    def _end_writing(self) -> None:
+        """Break a connection whose answer yields, with what the kernel holds of it."""
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+            self.socket.shutdown(SHUT_RDWR)
 
     def _write(self, data) -> None:
         """Send one part of the body in a single write."""
@@ -214,7 +239,29 @@
             raise
         self.response_length += n_sent
         if n_sent < len(data):
-            super()._sendall(memoryview(data)[n_sent:])
+            self._send_rest(memoryview(data)[n_sent:])
+
+    def _send_rest(self, data: memoryview) -> None:
+        """Send as the client reads; count what is held for it meanwhile."""
+        clock = self.server.clock
+        share = self.server.memory.open(
+            on_yield=self._end_writing, now=clock.monotonic(), is_answer=True
+        )
+        deadline = clock.monotonic() + self.limits.stall_timeout_ms / 1_000
+        share.hold(len(data), now=clock.monotonic())
+        try:
+            while data:
+                if share.has_yielded or clock.monotonic() >= deadline:
+                    raise TimeoutError("timed out")
+                n_sent = self.socket.send(data)
+                self.response_length += n_sent
+                data = data[n_sent:]
+                share.record_progress(n_sent, now=clock.monotonic())
+        except OSError as error:
+            self.status = f"socket error: {error}"
+            raise
+        finally:
+            share.close()
 
     def log_error(self, msg, *args) -> None:
         """Log an error that the base class found in a client's input."""
@@ -243,9 +290,16 @@
     limits : LimitsSettings
     context : SSLContext or None
         None for plain text.
+    memory : DoorMemory or None
+        Shared with other listeners; None for one of its own, as the limits state.
+    clock : Clock or None
 
     Attributes
     ----------
+    waiting_handlers : set of BoundedHandler
+        Handlers of the connections whose client has to send a request or its head.
+    n_closed_for_others : int
+        Connections that were closed for new ones, since the start.
     idle_handlers : set of BoundedHandler
         Handlers of the connections that wait for a request.
     """
@@ -259,6 +313,8 @@
         application,
         limits: LimitsSettings,
         context: SSLContext | None = None,
+        memory: DoorMemory | None = None,
+        clock: Clock | None = None,
     ):
         options = {} if context is None else {"ssl_context": context}
         super().__init__(
@@ -270,7 +326,12 @@
         )
         self.limits = limits
         self.n_connections = 0
+        self.memory = memory or DoorMemory(limit_bytes=limits.held_bytes)
+        self.clock = clock or SystemClock()
         self.idle_handlers: set[BoundedHandler] = set()
+        self.waiting_handlers: set[BoundedHandler] = set()
+        self.n_closed_for_others = 0
+        self.n_refusing = 0
 
     @property
     def n_busy(self) -> int:
@@ -337,27 +398,53 @@
 
     def handle(self, sock, address) -> None:
         """Serve a connection, or refuse it if there are too many."""
-        if self.n_connections >= self.limits.connections:
+        if self.n_connections >= self.limits.connections and not self._close_one():
             self._refuse(sock)
             return
         self.n_connections += 1
         try:
             # Small events must not wait for the acknowledgement of earlier ones.
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            sock.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
             sock.settimeout(self.limits.stall_timeout_ms / 1_000)
             super().handle(sock, address)
         finally:
             self.n_connections -= 1
 
+    def _close_one(self) -> bool:
+        """Close the connection that yields to a new one; return whether one does."""
+        handler = choose_connection_to_close(
+            (
+                WaitingConnection(connection=handler, since=handler.waiting_since)
+                for handler in self.waiting_handlers
+            ),
+            now=self.clock.monotonic(),
+        )
+        if handler is None:
+            return False
+        self.waiting_handlers.discard(handler)
+        self.n_closed_for_others += 1
+        with contextlib.suppress(OSError):
+            handler.socket.shutdown(SHUT_RDWR)
+        # Its descriptor is free before this connection goes on.
+        sleep(0)
+        return True
+
     def _refuse(self, sock) -> None:
         count_dropped(Endpoint.HTTP, DropReason.CONNECTION_LIMIT)
+        if self.n_refusing >= MAX_REFUSING:
+            return
         refusal = NotRun(reason=NotRunReason.OVERLOADED, retry_after_ms=RETRY_AFTER_MS)
+        self.n_refusing += 1
         sock.settimeout(REFUSAL_TIMEOUT_S)
-        with contextlib.suppress(OSError):
-            sock.sendall(plain_response(failure_answer(refusal)))
-            sock.shutdown(SHUT_WR)
-            # Closing a connection with unread input would discard the response.
-            sock.recv(MAX_DISCARD_BYTES)
+        try:
+            with contextlib.suppress(OSError):
+                sock.sendall(plain_response(failure_answer(refusal)))
+                sock.shutdown(SHUT_WR)
+                # Closing a connection with unread input would discard the response.
+                sock.recv(MAX_DISCARD_BYTES)
+        finally:
+            self.n_refusing -= 1
 
 
 def plain_response(answer: HttpAnswer) -> bytes:
--- a/turmericreel/entry/parse_request.py
+++ b/turmericreel/entry/parse_request.py
@@ -132,7 +132,9 @@
 
 def content_digest(prefix: bytes, body: bytes) -> ContentDigest:
     """Return a digest of the content; resends of the same content have the same."""
-    return ContentDigest(xxhash.xxh128_hexdigest(prefix + b"\0" + body))
+    digest = xxhash.xxh128(prefix + b"\0")
+    digest.update(body)
+    return ContentDigest(digest.hexdigest())
 
 
 def parse_deadline(header: dict[str, str], now: float) -> float:
--- a/turmericreel/gateway/application.py
+++ b/turmericreel/gateway/application.py
@@ -17,8 +17,8 @@
     CountedBody,
 )
 from turmericreel.entry.caller_watch import CallerWatch
-from turmericreel.entry.http_server import BodyTimeoutError
 from turmericreel.entry.parse_request import content_digest
+from turmericreel.entry.request_body import BodyTimeoutError, NoRoomError
 from turmericreel.gateway.attempts import (
     MIN_SERVER_ERROR_STATUS,
     RETRY_AFTER_MS,
@@ -66,6 +66,7 @@
 # Fraction of the client's time limit that may pass before a configuration arrives.
 TABLE_WAIT_FRACTION = 0.25
 STARTING_RETRY_AFTER_MS = 1_000
+NO_ROOM_RETRY_AFTER_MS = 500
 # Other instances take the request at once.
 STOPPING_RETRY_AFTER_MS = 1
 ARRIVED_KEY = "turmericreel.arrived"
@@ -280,6 +281,12 @@
             raise _refusal(NotRunReason.BODY_TOO_LARGE, f"{length} bytes", retry=False)
         try:
             data = body.read(limit + 1)
+        except NoRoomError as error:
+            raise _refusal(
+                NotRunReason.OVERLOADED,
+                "no memory for the body",
+                retry_after_ms=NO_ROOM_RETRY_AFTER_MS,
+            ) from error
         except BodyTimeoutError as error:
             raise _refusal(
                 NotRunReason.BODY_TIMEOUT, "request body timed out"
@@ -319,7 +326,7 @@
             headers.append((self.names.attempt_id, attempt_id))
         if isinstance(failure, NotRun) and failure.retry_after_ms is not None:
             headers.append(("Retry-After", f"{failure.retry_after_ms / 1_000:.3f}"))
-        if self.stopping:
+        if self.stopping or environ["wsgi.input"].has_unread_data():
             headers.append(("Connection", "close"))
         outcome = REFUSAL_OUTCOMES.get(status, RequestOutcome.REFUSED)
         kind = request.route.kind.value if request is not None else UNROUTED
--- a/turmericreel/gateway/client_request.py
+++ b/turmericreel/gateway/client_request.py
@@ -27,6 +27,8 @@
 
 # Bounds the work for a request whose client states very many parts.
 MAX_SHARED_PARTS = 64
+# Shorter bodies are sent in one piece with their heads.
+MAX_COPIED_BYTES = 65_536
 MIN_SERVER_PRIORITY = 3
 MAX_SERVER_PRIORITY = 9
 
@@ -131,8 +133,11 @@
     server: str,
     left_ms: int,
     last_event_id: str | None,
-) -> bytes:
-    """Return the encoded request, with the headers that the gateway sets."""
+) -> list[bytes]:
+    """Return the encoded request in parts, with the headers that the gateway sets.
+
+    A long body is a part of its own, which is not copied.
+    """
     own = {
         names.deadline_ms: str(left_ms),
         names.expected_server: server,
@@ -155,7 +160,9 @@
     lines += [f"{n}: {v}" for n, v in own.items()]
     if request.body is not None:
         lines.append(f"Content-Length: {len(request.body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (request.body or b"")
+    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+    body = request.body or b""
+    return [head, body] if len(body) > MAX_COPIED_BYTES else [head + body]
 
 
 def _unfold(value: str) -> str:
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry
 
 from turmericreel.decisions.content_quarantine import choose_trying_instance
+from turmericreel.decisions.door_memory import DoorMemory
 from turmericreel.decisions.model_choice import ConfidenceCascade
 from turmericreel.decisions.relay_choice import RelayChoice
 from turmericreel.decisions.server_paths import PathState, ServerPaths
@@ -105,6 +106,7 @@
             on_server_ended=self.guard.record_ended_server,
         )
         self.evidence = EvidenceCounter()
+        self.door_memory = DoorMemory(limit_bytes=settings.held_bytes)
         rng = SystemRandom()
         metrics = GatewayMetrics(registry=registry)
         paths = ServerPaths()
@@ -206,6 +208,8 @@
             application=self.application,
             client_limits=self._client_limits,
             connections=settings.client_connections,
+            memory=self.door_memory,
+            clock=clock,
         )
         self.links = CoordinatorLinks(
             seeds=seeds,
--- a/turmericreel/gateway/ingress.py
+++ b/turmericreel/gateway/ingress.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
+from turmericreel.decisions.door_memory import DoorMemory
 from turmericreel.entry.http_server import BoundedHandler, BoundedServer
 from turmericreel.model.routing import ClientLimits
 from turmericreel.model.settings import LimitsSettings
 from turmericreel.protocols.addresses import Address
+from turmericreel.util.clock import Clock
 
 HEADERS_KEY = "turmericreel.headers"
 TARGET_KEY = "turmericreel.target"
@@ -34,6 +36,8 @@
         Returns the limits in force.
     connections : int
         Maximum number of concurrent client connections.
+    memory : DoorMemory
+    clock : Clock
     """
 
     handler_class = IngressHandler
@@ -45,6 +49,8 @@
         application,
         client_limits: Callable[[], ClientLimits],
         connections: int,
+        memory: DoorMemory,
+        clock: Clock,
     ):
         self.client_limits = client_limits
         self.n_connections_allowed = connections
@@ -52,6 +58,8 @@
             address=address,
             application=application,
             limits=self.connection_limits(),
+            memory=memory,
+            clock=clock,
         )
 
     def connection_limits(self) -> LimitsSettings:
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -262,21 +262,20 @@
 
     def _send(self, last_event_id: str | None) -> None:
         left_s = self.deadline - self.clock.monotonic()
-        data = memoryview(
-            encode_for_server(
-                self.request,
-                names=self.names,
-                server=self.server.server,
-                left_ms=max(int(left_s * 1_000), MIN_TIME_LEFT_MS),
-                last_event_id=last_event_id,
-            )
+        parts = encode_for_server(
+            self.request,
+            names=self.names,
+            server=self.server.server,
+            left_ms=max(int(left_s * 1_000), MIN_TIME_LEFT_MS),
+            last_event_id=last_event_id,
         )
         n_sent = 0
         try:
-            while n_sent < len(data):
-                n_sent += self.connection.send(
-                    data[n_sent:], timeout=max(left_s, 0.001)
-                )
+            for data in map(memoryview, parts):
+                while data:
+                    n_block = self.connection.send(data, timeout=max(left_s, 0.001))
+                    n_sent += n_block
+                    data = data[n_block:]
         except OSError as error:
             if n_sent == 0:
                 raise _not_run(
--- a/turmericreel/model/routing_settings.py
+++ b/turmericreel/model/routing_settings.py
@@ -33,6 +33,8 @@
         Maximum number of concurrent client connections.
     session_idle_ms : int
         Idle time after which a session ends.
+    held_bytes : int
+        Bytes of requests and unread answers that are held for all clients together.
     """
 
     instance: InstanceId
@@ -47,6 +49,7 @@
     stop_deadline_ms: int
     client_connections: int
     session_idle_ms: int
+    held_bytes: int = 33_554_432
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/turmericreel/model/settings.py
+++ b/turmericreel/model/settings.py
@@ -59,9 +59,16 @@
 
 
 class LimitsSettings(SettingsStruct):
-    """Limits on the resources that clients can use."""
+    """Limits on the resources that clients can use.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Bytes of requests and unread answers that are held for all clients together.
+    """
 
     connections: Count = 2_000
+    held_bytes: Count = 67_108_864
     header_bytes: Count = 32_768
     body_bytes: Count = 8_388_608
     header_timeout_ms: Milliseconds = 10_000
--- a/turmericreel/platform/coordinator.py
+++ b/turmericreel/platform/coordinator.py
@@ -12,6 +12,7 @@
 
 from turmericreel.coordination.raft.metrics import RaftCollector
 from turmericreel.coordinator.coordinator import Coordinator
+from turmericreel.decisions.door_memory import DoorMemory
 from turmericreel.coordinator.metrics import UsageCollector
 from turmericreel.model.failures import Failure, FailureError, ListenFailed
 from turmericreel.platform.configuration import PlatformCodec
@@ -25,7 +26,9 @@
 )
 from turmericreel.platform.settings import (
     CurrentSeeds,
+    connections_of,
     coordinator_settings,
+    held_bytes_of,
     read_settings,
     settings_path,
 )
@@ -62,7 +65,10 @@
     signal_handler(SIGHUP, seeds.reload)
     handlers = ControlHandlers(coordinator=coordinator)
     listener = build_listener(
-        process_settings.listen.control_plane, handlers.application()
+        process_settings.listen.control_plane,
+        handlers.application(),
+        connections=connections_of(process_settings),
+        memory=DoorMemory(limit_bytes=held_bytes_of(process_settings)),
     )
     metrics = build_metrics(process_settings.ip)
     metrics.registry.register(RaftCollector(log=coordinator.log))
--- a/turmericreel/platform/gateway.py
+++ b/turmericreel/platform/gateway.py
@@ -19,6 +19,8 @@
     start_log,
 )
 from turmericreel.platform.settings import (
+    LOOKUP_CONNECTIONS,
+    READINESS_CONNECTIONS,
     CurrentSeeds,
     gateway_settings,
     read_settings,
@@ -48,10 +50,12 @@
     handlers = GatewayHandlers(gateway=gateway, validity_ms=settings.list_validity_ms)
     application = handlers.application()
     listeners = [
-        build_listener(address, application)
-        for address in (
-            process_settings.listen.readiness,
-            process_settings.listen.directory,
+        build_listener(
+            address, application, connections=connections, memory=gateway.door_memory
+        )
+        for address, connections in (
+            (process_settings.listen.readiness, READINESS_CONNECTIONS),
+            (process_settings.listen.directory, LOOKUP_CONNECTIONS),
         )
         if address
     ]
--- a/turmericreel/platform/gateway_handlers.py
+++ b/turmericreel/platform/gateway_handlers.py
@@ -35,8 +35,12 @@
         """Return the application that serves the calls."""
         return Application(
             handlers={
-                READINESS_PATH: Route(handler=self.readiness, methods=("GET",)),
-                RESOLUTION_PATH: Route(handler=self.resolution, methods=("GET",)),
+                READINESS_PATH: Route(
+                    handler=self.readiness, methods=("GET",), reads_body=False
+                ),
+                RESOLUTION_PATH: Route(
+                    handler=self.resolution, methods=("GET",), reads_body=False
+                ),
             }
         )
 
--- a/turmericreel/platform/settings.py
+++ b/turmericreel/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 from eliot import log_message
 
+from turmericreel.decisions.door_memory import connections_for, held_bytes_for
 from turmericreel.model.failures import FailureError, FileUnreadable
 from turmericreel.model.ids import DataCentreId, InstanceId
 from turmericreel.model.routing_settings import CoordinatorSettings, GatewaySettings
@@ -18,6 +19,11 @@
 # File descriptors reserved for connections to servers and coordinators, and for files.
 N_RESERVED_DESCRIPTORS = 1_000
 MIN_CLIENT_CONNECTIONS = 100
+# Of a gateway's connections, those for address look-ups and readiness checks, which are
+# short.
+LOOKUP_CONNECTIONS = 128
+READINESS_CONNECTIONS = 32
+MB = 1024 * 1024
 
 
 def settings_path() -> Path:
@@ -45,10 +51,22 @@
     return tuple(InstanceId(address) for address in settings.seed_nodes)
 
 
+def connections_of(settings: ProcessSettings) -> int:
+    """Return the connections for which a process has descriptors and memory."""
+    descriptors = settings.limits.max_fds - N_RESERVED_DESCRIPTORS
+    memory_bytes = int(settings.limits.memory_mb * MB)
+    return max(min(descriptors, connections_for(memory_bytes)), MIN_CLIENT_CONNECTIONS)
+
+
+def held_bytes_of(settings: ProcessSettings) -> int:
+    """Return the bytes that clients may make a process hold."""
+    return held_bytes_for(int(settings.limits.memory_mb * MB))
+
+
 def gateway_settings(settings: ProcessSettings) -> GatewaySettings:
     """Return the settings of a gateway."""
     validity_ms = min(LIST_VALIDITY_MS, int(settings.bounds.ttl_max_s * 1_000))
-    connections = settings.limits.max_fds - N_RESERVED_DESCRIPTORS
+    others = LOOKUP_CONNECTIONS + READINESS_CONNECTIONS
     return GatewaySettings(
         instance=InstanceId(settings.listen.frontend),
         data_centre=DataCentreId(settings.zone),
@@ -60,7 +78,10 @@
         retry_window_s=settings.bounds.retry_window_s,
         list_validity_ms=validity_ms,
         stop_deadline_ms=int(settings.bounds.grace_s * 1_000),
-        client_connections=max(connections, MIN_CLIENT_CONNECTIONS),
+        client_connections=max(
+            connections_of(settings) - others, MIN_CLIENT_CONNECTIONS
+        ),
+        held_bytes=held_bytes_of(settings),
         session_idle_ms=int(settings.bounds.session_s * 1_000),
     )
 
--- a/turmericreel/platform/wire.py
+++ b/turmericreel/platform/wire.py
@@ -179,6 +179,7 @@
     """Limits that the machine sets for a process."""
 
     max_fds: int = 1_024
+    memory_mb: float = 150
 
 
 class BoundsEntry(PlatformStruct):
--- a/turmericreel/protocols/dropped_input.py
+++ b/turmericreel/protocols/dropped_input.py
@@ -24,6 +24,7 @@
     BODY_TIMEOUT = "body_timeout"
     BODY_INVALID = "body_invalid"
     BODY_TOO_LARGE = "body_too_large"
+    NO_ROOM = "no_room"
     STALLED = "stalled"
     FRAME_BROKEN = "frame_broken"
 
