Log what clients are refused, and return freed bodies to the system

Cause: refusals at the doors were only counted; the C library kept what bodies had taken; a connection with an unread request, or one in its TLS handshake, was not distinguished or not counted. Change: door:crowded at most once a second, reasons in the metrics, held bytes of a gateway; large blocks go back as they are freed; a connection whose request has arrived does not yield; handshakes are bounded.

--- a/test/routing/test_log_schema.py
+++ b/test/routing/test_log_schema.py
@@ -15,6 +15,7 @@
     *ROOT.glob("gateway/*.py"),
     *ROOT.glob("coordinator/*.py"),
     *ROOT.glob("platform/*.py"),
+    ROOT / "entry" / "door_log.py",
     *ROOT.glob("coordination/raft/*.py"),
     ROOT / "state" / "routing_state_cache.py",
 ]
--- a/turmericreel/decisions/door_memory.py
+++ b/turmericreel/decisions/door_memory.py
@@ -47,18 +47,12 @@
     ----------
     n_bytes : int
     shares : set of DoorShare
-    n_yielded : int
-        Requests and answers that yielded to others, since the start.
-    n_refused : int
-        Requests for which there was no room, since the start.
     """
 
     def __init__(self, *, limit_bytes: int):
         self.limit_bytes = limit_bytes
         self.n_bytes = 0
         self.shares: set[DoorShare] = set()
-        self.n_yielded = 0
-        self.n_refused = 0
 
     def open(
         self, *, on_yield: Callable[[], None], now: float, is_answer: bool = False
@@ -109,7 +103,6 @@
 
     def _give_up(self, shares: Iterable["DoorShare"]) -> None:
         for share in shares:
-            self.n_yielded += 1
             share.give_up()
 
 
--- a/turmericreel/entry/application.py
+++ b/turmericreel/entry/application.py
@@ -304,7 +304,6 @@
         try:
             body = environ["wsgi.input"].read(self.body_limit_bytes + 1)
         except NoRoomError as error:
-            count_dropped(Endpoint.HTTP, DropReason.NO_ROOM)
             raise FailureError(
                 NotRun(
                     reason=NotRunReason.OVERLOADED,
--- a/turmericreel/entry/http_server.py
+++ b/turmericreel/entry/http_server.py
@@ -6,12 +6,15 @@
 """
 
 import contextlib
+from functools import partial
+from itertools import islice
 from socket import (
     IPPROTO_TCP,
     SHUT_RD,
     SHUT_RDWR,
     SHUT_WR,
     SO_LINGER,
+    SO_RCVBUF,
     SO_SNDBUF,
     SOL_SOCKET,
     TCP_NODELAY,
@@ -36,6 +39,7 @@
     HttpAnswer,
     failure_answer,
 )
+from turmericreel.entry.door_log import DoorLog
 from turmericreel.entry.request_body import BoundedInput
 from turmericreel.model.failures import NotRun, NotRunReason
 from turmericreel.model.settings import LimitsSettings
@@ -52,6 +56,8 @@
 SEND_BUFFER_BYTES = 65_536
 # Of connections over the limit, those that still get a refusal at the same time.
 MAX_REFUSING = 32
+# Of the connections that wait longest, those that are examined for a new one.
+MAX_EXAMINED = 8
 # Time for which the rest of a refused body is read and dropped, as closing a connection
 # with unread input would discard the refusal.
 DISCARD_S = 1.0
@@ -138,7 +144,9 @@
     def _wait_for_request(self) -> bool:
         """Wait for the first byte of a request; return whether it came in time."""
         self.server.idle_handlers.add(self)
-        self.server.waiting_handlers.add(self)
+        # Those that wait longest come first.
+        self.server.waiting_handlers.pop(self, None)
+        self.server.waiting_handlers[self] = None
         self.waiting_since = self.server.clock.monotonic()
         try:
             with Timeout(self.server.idle_timeout_s(), False):
@@ -175,9 +183,10 @@
             timeout_s=self.limits.body_timeout_ms / 1_000,
             memory=self.server.memory,
             on_yield=self._end_reading,
+            on_no_room=partial(self.server.record_drop, DropReason.NO_ROOM),
             clock=self.server.clock,
         )
-        self.server.waiting_handlers.discard(self)
+        self.server.waiting_handlers.pop(self, None)
         environ["wsgi.input"] = self.wsgi_input
         environ[SOCKET_KEY] = self.socket
         environ[RAW_PATH] = self.path.partition("?")[0]
@@ -188,7 +197,7 @@
         try:
             super().handle()
         finally:
-            self.server.waiting_handlers.discard(self)
+            self.server.waiting_handlers.pop(self, None)
 
     def handle_one_response(self) -> None:
         """Answer the request; close the connection if its body was not fully read."""
@@ -204,16 +213,20 @@
         """Read and drop what the client still sends, for a short time."""
         with contextlib.suppress(OSError), Timeout(DISCARD_S, False):
             self.socket.shutdown(SHUT_WR)
+            # The kernel need not hold more than is dropped at once.
+            self.socket.setsockopt(SOL_SOCKET, SO_RCVBUF, len(DISCARDED))
             while self.socket.recv_into(DISCARDED):
                 pass
 
     def _end_reading(self) -> None:
         """End the reading of a body that yields to others, so that it is refused."""
+        self.server.record_drop(DropReason.YIELDED)
         with contextlib.suppress(OSError):
             self.socket.shutdown(SHUT_RD)
 
     def _end_writing(self) -> None:
         """Break a connection whose answer yields, with what the kernel holds of it."""
+        self.server.record_drop(DropReason.YIELDED)
         with contextlib.suppress(OSError):
             self.socket.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
             self.socket.shutdown(SHUT_RDWR)
@@ -239,16 +252,16 @@
             raise
         self.response_length += n_sent
         if n_sent < len(data):
-            self._send_rest(memoryview(data)[n_sent:])
+            self._send_rest(memoryview(data)[n_sent:], n_held=len(data))
 
-    def _send_rest(self, data: memoryview) -> None:
+    def _send_rest(self, data: memoryview, *, n_held: int) -> None:
         """Send as the client reads; count what is held for it meanwhile."""
         clock = self.server.clock
         share = self.server.memory.open(
             on_yield=self._end_writing, now=clock.monotonic(), is_answer=True
         )
         deadline = clock.monotonic() + self.limits.stall_timeout_ms / 1_000
-        share.hold(len(data), now=clock.monotonic())
+        share.hold(n_held, now=clock.monotonic())
         try:
             while data:
                 if share.has_yielded or clock.monotonic() >= deadline:
@@ -296,10 +309,9 @@
 
     Attributes
     ----------
-    waiting_handlers : set of BoundedHandler
-        Handlers of the connections whose client has to send a request or its head.
-    n_closed_for_others : int
-        Connections that were closed for new ones, since the start.
+    waiting_handlers : dict of BoundedHandler to None
+        Handlers of the connections whose client has to send a request or its head, in
+        the order in which the waits began.
     idle_handlers : set of BoundedHandler
         Handlers of the connections that wait for a request.
     """
@@ -329,8 +341,9 @@
         self.memory = memory or DoorMemory(limit_bytes=limits.held_bytes)
         self.clock = clock or SystemClock()
         self.idle_handlers: set[BoundedHandler] = set()
-        self.waiting_handlers: set[BoundedHandler] = set()
-        self.n_closed_for_others = 0
+        self.waiting_handlers: dict[BoundedHandler, None] = {}
+        self.n_handshakes = 0
+        self.door_log = DoorLog(clock=self.clock)
         self.n_refusing = 0
 
     @property
@@ -385,7 +398,12 @@
 
     def wrap_socket_and_handle(self, client_socket, address) -> None:
         """Complete the TLS handshake within the header timeout, then serve."""
+        if self.n_handshakes >= self.limits.connections:
+            self.record_drop(DropReason.CONNECTION_LIMIT)
+            client_socket.close()
+            return
         seconds = self.limits.header_timeout_ms / 1_000
+        self.n_handshakes += 1
         try:
             with Timeout(seconds, OSError):
                 wrapped = self.wrap_socket(client_socket, **self.ssl_args)
@@ -393,6 +411,8 @@
             count_dropped(Endpoint.HTTP, DropReason.HANDSHAKE_FAILED)
             client_socket.close()
             return
+        finally:
+            self.n_handshakes -= 1
         with contextlib.closing(wrapped):
             self.handle(wrapped, address)
 
@@ -411,19 +431,27 @@
         finally:
             self.n_connections -= 1
 
+    def record_drop(self, reason: DropReason) -> None:
+        """Count and log what a client was refused."""
+        self.door_log.record(
+            reason, n_connections=self.n_connections, n_bytes=self.memory.n_bytes
+        )
+
     def _close_one(self) -> bool:
         """Close the connection that yields to a new one; return whether one does."""
         handler = choose_connection_to_close(
             (
                 WaitingConnection(connection=handler, since=handler.waiting_since)
-                for handler in self.waiting_handlers
+                for handler in islice(self.waiting_handlers, MAX_EXAMINED)
+                # A request that has arrived is to be read.
+                if is_idle(handler.socket)
             ),
             now=self.clock.monotonic(),
         )
         if handler is None:
             return False
-        self.waiting_handlers.discard(handler)
-        self.n_closed_for_others += 1
+        del self.waiting_handlers[handler]
+        self.record_drop(DropReason.CONNECTION_YIELDED)
         with contextlib.suppress(OSError):
             handler.socket.shutdown(SHUT_RDWR)
         # Its descriptor is free before this connection goes on.
@@ -431,7 +459,7 @@
         return True
 
     def _refuse(self, sock) -> None:
-        count_dropped(Endpoint.HTTP, DropReason.CONNECTION_LIMIT)
+        self.record_drop(DropReason.CONNECTION_LIMIT)
         if self.n_refusing >= MAX_REFUSING:
             return
         refusal = NotRun(reason=NotRunReason.OVERLOADED, retry_after_ms=RETRY_AFTER_MS)
--- a/turmericreel/entry/request_body.py
+++ b/turmericreel/entry/request_body.py
@@ -41,6 +41,8 @@
     memory : DoorMemory
     on_yield : callable
         Called when the body yields to others; must end its reading.
+    on_no_room : callable
+        Called when there is no room for the body.
     clock : Clock
 
     Attributes
@@ -55,6 +57,7 @@
         timeout_s: float,
         memory: DoorMemory,
         on_yield: Callable[[], None],
+        on_no_room: Callable[[], None],
         clock: Clock,
         **options,
     ):
@@ -62,6 +65,7 @@
         self.timeout_s = timeout_s
         self.memory = memory
         self.on_yield = on_yield
+        self.on_no_room = on_no_room
         self.clock = clock
         self.share: DoorShare | None = None
         self.broken = False
@@ -192,7 +196,9 @@
         """Take room for a size, after a wait if others have it."""
         deadline = self.clock.monotonic() + ROOM_WAIT_S
         while not self.share.resize(size, now=self.clock.monotonic()):
-            if self.share.has_yielded or self.clock.monotonic() >= deadline:
-                self.memory.n_refused += 1
+            if self.share.has_yielded:
+                raise NoRoomError
+            if self.clock.monotonic() >= deadline:
+                self.on_no_room()
                 raise NoRoomError
             sleep(ROOM_POLL_S)
--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -200,6 +200,7 @@
             n_relayed=lambda: paths.n_in(PathState.RELAYED),
             n_relays=lambda: self.relays.n_relays,
             n_opened_through_others=lambda: self.connections.relayed.n_opened,
+            n_held_bytes=lambda: self.door_memory.n_bytes,
             n_log_lines_dropped=n_log_lines_dropped,
         )
         registry.register(collector)
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -116,6 +116,8 @@
         Returns the number of connections that are open for other gateways.
     n_opened_through_others : callable
         Returns the number of connections opened through other gateways since the start.
+    n_held_bytes : callable
+        Returns the bytes that are held for clients.
     n_log_lines_dropped : callable
         Returns the number of log lines dropped since the start.
     """
@@ -136,6 +138,7 @@
         n_relayed: Callable[[], int],
         n_relays: Callable[[], int],
         n_opened_through_others: Callable[[], int],
+        n_held_bytes: Callable[[], int],
         n_log_lines_dropped: Callable[[], int],
     ):
         self.view = view
@@ -151,6 +154,7 @@
         self.n_relayed = n_relayed
         self.n_relays = n_relays
         self.n_opened_through_others = n_opened_through_others
+        self.n_held_bytes = n_held_bytes
         self.n_log_lines_dropped = n_log_lines_dropped
 
     def collect(self) -> Iterator[Metric]:
@@ -243,6 +247,11 @@
         for stage, n_rollouts in stages.items():
             rollouts.add_metric([stage], n_rollouts)
         yield rollouts
+        yield GaugeMetricFamily(
+            "turmericreel_gateway_held_bytes",
+            "Bytes of requests and unread answers that are held for clients.",
+            value=self.n_held_bytes(),
+        )
         yield GaugeMetricFamily(
             "turmericreel_log_lines_dropped",
             "Log lines dropped since the start.",
--- a/turmericreel/model/settings.py
+++ b/turmericreel/model/settings.py
@@ -68,7 +68,7 @@
     """
 
     connections: Count = 2_000
-    held_bytes: Count = 67_108_864
+    held_bytes: Count = 50_331_648
     header_bytes: Count = 32_768
     body_bytes: Count = 8_388_608
     header_timeout_ms: Milliseconds = 10_000
--- a/turmericreel/platform/coordinator.py
+++ b/turmericreel/platform/coordinator.py
@@ -32,6 +32,7 @@
     read_settings,
     settings_path,
 )
+from turmericreel.util.allocator import return_large_blocks
 from turmericreel.util.clock import SystemClock
 
 
@@ -41,6 +42,7 @@
     Exit with `EXIT_FAILED` when the coordinator fails or cannot listen.
     """
     enable_gc()
+    return_large_blocks()
     log = start_log()
     path = settings_path()
     process_settings = read_settings(path)
--- a/turmericreel/platform/gateway.py
+++ b/turmericreel/platform/gateway.py
@@ -26,12 +26,14 @@
     read_settings,
     settings_path,
 )
+from turmericreel.util.allocator import return_large_blocks
 from turmericreel.util.clock import SystemClock
 
 
 def main() -> None:
     """Serve clients until SIGTERM, then stop gracefully."""
     enable_gc()
+    return_large_blocks()
     log = start_log()
     path = settings_path()
     process_settings = read_settings(path)
--- a/turmericreel/protocols/dropped_input.py
+++ b/turmericreel/protocols/dropped_input.py
@@ -25,6 +25,8 @@
     BODY_INVALID = "body_invalid"
     BODY_TOO_LARGE = "body_too_large"
     NO_ROOM = "no_room"
+    YIELDED = "yielded"
+    CONNECTION_YIELDED = "connection_yielded"
     STALLED = "stalled"
     FRAME_BROKEN = "frame_broken"
 
