--- a/turmericreel/entry/application.py
+++ b/turmericreel/entry/application.py
@@ -248,7 +248,7 @@
         header = [("Content-Type", answer.content_type), *answer.header.items()]
         if isinstance(answer.body, Sequence):
             header.append(("Content-Length", str(sum(map(len, answer.body)))))
-        if self.closing or environ["wsgi.input"].has_unread_data():
+        if self.closing:
             header.append(("Connection", "close"))
         start_response(status_line, header)
         return answer.body
--- a/turmericreel/gateway/application.py
+++ b/turmericreel/gateway/application.py
@@ -326,7 +326,7 @@
             headers.append((self.names.attempt_id, attempt_id))
         if isinstance(failure, NotRun) and failure.retry_after_ms is not None:
             headers.append(("Retry-After", f"{failure.retry_after_ms / 1_000:.3f}"))
-        if self.stopping or environ["wsgi.input"].has_unread_data():
+        if self.stopping:
             headers.append(("Connection", "close"))
         outcome = REFUSAL_OUTCOMES.get(status, RequestOutcome.REFUSED)
         kind = request.route.kind.value if request is not None else UNROUTED
--- a/turmericreel/gateway/ingress.py
+++ b/turmericreel/gateway/ingress.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from turmericreel.decisions.door_memory import DoorMemory
-from turmericreel.entry.http_server import BoundedHandler, BoundedServer
+from turmericreel.entry.http_handler import BoundedHandler
+from turmericreel.entry.http_server import BoundedServer
 from turmericreel.model.routing import ClientLimits
 from turmericreel.model.settings import LimitsSettings
 from turmericreel.protocols.addresses import Address
