--- a/turmericreel/gateway/gateway.py
+++ b/turmericreel/gateway/gateway.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry
 
 from turmericreel.decisions.content_quarantine import choose_trying_instance
+from turmericreel.decisions.door_memory import DoorMemory
 from turmericreel.decisions.model_choice import ConfidenceCascade
 from turmericreel.decisions.relay_choice import RelayChoice
 from turmericreel.decisions.server_paths import PathState, ServerPaths
@@ -107,6 +108,7 @@
             on_returned=lambda servers: self.chooser.rates.cold.presume_cold(servers),
         )
         self.evidence = EvidenceCounter()
+        self.door_memory = DoorMemory(limit_bytes=settings.held_bytes)
         rng = SystemRandom()
         metrics = GatewayMetrics(registry=registry)
         paths = ServerPaths()
@@ -204,6 +206,7 @@
             n_relayed=lambda: paths.n_in(PathState.RELAYED),
             n_relays=lambda: self.relays.n_relays,
             n_opened_through_others=lambda: self.connections.relayed.n_opened,
+            n_held_bytes=lambda: self.door_memory.n_bytes,
             n_log_lines_dropped=n_log_lines_dropped,
         )
         registry.register(collector)
@@ -212,6 +215,8 @@
             application=self.application,
             client_limits=self._client_limits,
             connections=settings.client_connections,
+            memory=self.door_memory,
+            clock=clock,
         )
         self.links = CoordinatorLinks(
             seeds=seeds,
--- a/turmericreel/model/routing_settings.py
+++ b/turmericreel/model/routing_settings.py
@@ -50,6 +50,8 @@
     session_idle_ms : int
         Idle time after which a session ends.
     cold_bounds : ColdBounds
+    held_bytes : int
+        Bytes of requests and unread answers that are held for all clients together.
     """
 
     instance: InstanceId
@@ -65,6 +67,7 @@
     client_connections: int
     session_idle_ms: int
     cold_bounds: ColdBounds = ColdBounds()
+    held_bytes: int = 33_554_432
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/turmericreel/platform/coordinator.py
+++ b/turmericreel/platform/coordinator.py
@@ -17,6 +17,7 @@
     EvacuationCollector,
     UsageCollector,
 )
+from turmericreel.decisions.door_memory import DoorMemory
 from turmericreel.model.failures import Failure, FailureError, ListenFailed
 from turmericreel.platform.configuration import PlatformCodec
 from turmericreel.platform.control_handlers import ControlHandlers
@@ -29,10 +30,13 @@
 )
 from turmericreel.platform.settings import (
     CurrentSettings,
+    connections_of,
     coordinator_settings,
+    held_bytes_of,
     read_settings,
     settings_path,
 )
+from turmericreel.util.allocator import return_large_blocks
 from turmericreel.util.clock import SystemClock
 
 
@@ -42,6 +46,7 @@
     Exit with `EXIT_FAILED` when the coordinator fails or cannot listen.
     """
     enable_gc()
+    return_large_blocks()
     log = start_log()
     path = settings_path()
     process_settings = read_settings(path)
@@ -67,7 +72,10 @@
     signal_handler(SIGHUP, current.reload)
     handlers = ControlHandlers(coordinator=coordinator)
     listener = build_listener(
-        process_settings.listen.control_plane, handlers.application()
+        process_settings.listen.control_plane,
+        handlers.application(),
+        connections=connections_of(process_settings),
+        memory=DoorMemory(limit_bytes=held_bytes_of(process_settings)),
     )
     metrics = build_metrics(process_settings.ip)
     metrics.registry.register(RaftCollector(log=coordinator.log))
--- a/turmericreel/platform/gateway.py
+++ b/turmericreel/platform/gateway.py
@@ -20,16 +20,20 @@
 )
 from turmericreel.platform.settings import (
     CurrentSettings,
+    LOOKUP_CONNECTIONS,
+    READINESS_CONNECTIONS,
     gateway_settings,
     read_settings,
     settings_path,
 )
+from turmericreel.util.allocator import return_large_blocks
 from turmericreel.util.clock import SystemClock
 
 
 def main() -> None:
     """Serve clients until SIGTERM, then stop gracefully."""
     enable_gc()
+    return_large_blocks()
     log = start_log()
     path = settings_path()
     process_settings = read_settings(path)
@@ -48,10 +52,12 @@
     handlers = GatewayHandlers(gateway=gateway, validity_ms=settings.list_validity_ms)
     application = handlers.application()
     listeners = [
-        build_listener(address, application)
-        for address in (
-            process_settings.listen.readiness,
-            process_settings.listen.directory,
+        build_listener(
+            address, application, connections=connections, memory=gateway.door_memory
+        )
+        for address, connections in (
+            (process_settings.listen.readiness, READINESS_CONNECTIONS),
+            (process_settings.listen.directory, LOOKUP_CONNECTIONS),
         )
         if address
     ]
