Look only through the requests that hold bytes when one needs room

Cause: many bodies that wait for room looked through each other several times a second. Change: a share counts once it holds bytes; a body asks for room every 100 ms.

--- a/turmericreel/decisions/door_memory.py
+++ b/turmericreel/decisions/door_memory.py
@@ -47,6 +47,7 @@
     ----------
     n_bytes : int
     shares : set of DoorShare
+        Those that hold bytes; the many that wait for room are not looked through.
     """
 
     def __init__(self, *, limit_bytes: int):
@@ -67,9 +68,7 @@
             Seconds on the monotonic clock.
         is_answer : bool
         """
-        share = DoorShare(memory=self, on_yield=on_yield, now=now, is_answer=is_answer)
-        self.shares.add(share)
-        return share
+        return DoorShare(memory=self, on_yield=on_yield, now=now, is_answer=is_answer)
 
     def make_room(self, share: "DoorShare", size: int, *, now: float) -> bool:
         """Return whether a share may grow to a size, after others have yielded."""
@@ -143,15 +142,18 @@
             return False
         if size > self.size and not self.memory.make_room(self, size, now=now):
             return False
-        self.memory.n_bytes += size - self.size
-        self.size = size
+        self._count(size)
         return True
 
     def hold(self, size: int, *, now: float) -> None:
         """Count bytes that are held already; others, or this share, may yield."""
+        self._count(size)
+        self.memory.shed(now=now)
+
+    def _count(self, size: int) -> None:
         self.memory.n_bytes += size - self.size
         self.size = size
-        self.memory.shed(now=now)
+        self.memory.shares.add(self)
 
     def record_progress(self, n_bytes: int, *, now: float) -> None:
         """Count bytes that the client has sent or read."""
--- a/turmericreel/entry/request_body.py
+++ b/turmericreel/entry/request_body.py
@@ -16,7 +16,7 @@
 BLOCK_BYTES = 65_536
 # Time for which a request waits for room; clients wait a second for a node to read it.
 ROOM_WAIT_S = 0.5
-ROOM_POLL_S = 0.05
+ROOM_POLL_S = 0.1
 # Of a chunk's line with its extensions, and of all trailers.
 MAX_CHUNK_LINE_BYTES = 1_024
 MAX_TRAILERS_BYTES = 16_384
