Take the judging of silent runs back

Suspected, not shown: the wait for the first event grows with the prefill work pending at a server, which never ends at one that is dark.

--- a/test/routing/test_cut_answer_heads.py
+++ b/test/routing/test_cut_answer_heads.py
@@ -13,7 +13,7 @@
 from turmericreel.entry.answer_buffer import AnswerBuffer
 from turmericreel.entry.server_answer import ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection
-from turmericreel.gateway.forwarded_answer import ForwardedAnswer
+from turmericreel.gateway.server_exchange import ForwardedAnswer
 from turmericreel.gateway.server_loads import ServerLoad
 from turmericreel.model.failures import FailureError
 from turmericreel.model.routing import RouteKind
--- a/test/routing/test_endless_answers.py
+++ b/test/routing/test_endless_answers.py
@@ -23,7 +23,7 @@
 from turmericreel.fakes.endless_server import EndlessPart, EndlessServer
 from turmericreel.gateway.dispatcher import MAX_BODY_BYTES, MAX_BUFFERED_BYTES
 from turmericreel.gateway.event_stream import MAX_EVENT_BYTES, EventSplitter
-from turmericreel.gateway.forwarded_answer import ForwardedAnswer
+from turmericreel.gateway.server_exchange import ForwardedAnswer
 from turmericreel.model.failures import FailureError
 from turmericreel.model.request import RequestKind
 from turmericreel.model.routing import RouteKind
--- a/test/routing/test_small_day.py
+++ b/test/routing/test_small_day.py
@@ -319,7 +319,9 @@
 
 
 def test_stream_is_resumed_elsewhere_when_its_server_falls_silent(system, monkeypatch):
-    monkeypatch.setattr("turmericreel.decisions.stream_silence.MIN_RUN_SILENCE_S", 0.3)
+    monkeypatch.setattr(
+        "turmericreel.gateway.dispatcher.RESUMABLE_STREAM_IDLE_TIMEOUT_S", 0.3
+    )
     system.submit(stream_route(timeout_ms=5_000))
     servers = [system.add_server("s1"), system.add_server("s2")]
     first = servers[0]
--- a/turmericreel/entry/server_answer.py
+++ b/turmericreel/entry/server_answer.py
@@ -97,9 +97,6 @@
 
     Attributes
     ----------
-    is_reading : bool
-        Whether a read waits for bytes.  While none does, as the caller takes its time
-        with earlier ones, the server is not silent.
     timed_out : bool
         Whether reading was given up, at a deadline or for want of room.
     requires_stated_end : bool
@@ -123,7 +120,6 @@
         self.parser = _ResponseParser(method=method)
         self.idle_timeout_s: float | None = None
         self.last_read = clock.monotonic()
-        self.is_reading = False
         self.timed_out = False
         self.was_reset = False
         self.was_closed = False
@@ -246,7 +242,7 @@
     def _read_block(self) -> int:
         n_body_bytes = self.parser.n_body_bytes
         try:
-            data = self._receive()
+            data = self.connection.receive(READ_BYTES)
             if data:
                 self._parse(data)
         except OSError as error:
@@ -271,14 +267,6 @@
             raise self._unreachable(f"over {MAX_HEADER_BYTES} bytes without a body")
         return len(data)
 
-    def _receive(self) -> bytes:
-        self.last_read = self.clock.monotonic()
-        self.is_reading = True
-        try:
-            return self.connection.receive(READ_BYTES)
-        finally:
-            self.is_reading = False
-
     def _parse(self, data: bytes) -> None:
         try:
             self.parser.feed(data)
@@ -304,14 +292,9 @@
         now = self.clock.monotonic()
         left = self.deadline - now
         if self.idle_timeout_s is not None:
-            silent_since = self._heard_at() if self.is_reading else now
-            left = min(left, silent_since + self.idle_timeout_s - now)
+            left = min(left, self.last_read + self.idle_timeout_s - now)
         return left
 
-    def _heard_at(self) -> float:
-        """Return when the server last sent a byte."""
-        return self.last_read
-
     def _restart_timer(self) -> None:
         self.timer.stop()
         self.timer.close()
--- a/turmericreel/gateway/attempt_starter.py
+++ b/turmericreel/gateway/attempt_starter.py
@@ -1,17 +1,11 @@
 """Starts attempts at servers, and records them in logs, metrics and counters."""
 
-from collections.abc import Callable
+from math import inf
 
 from eliot import log_message
 
 from turmericreel.decisions.model_choice import ModelChoice, Pressure
 from turmericreel.decisions.server_availability import parse_pause_s
-from turmericreel.decisions.server_placement import Prompt
-from turmericreel.decisions.stream_silence import (
-    HeadWait,
-    RunSilence,
-    choose_head_wait,
-)
 from turmericreel.gateway.attempts import (
     MIN_SERVER_ERROR_STATUS,
     Attempt,
@@ -23,12 +17,11 @@
 from turmericreel.gateway.client_request import ClientRequest
 from turmericreel.gateway.crash_guard import CrashGuard
 from turmericreel.gateway.evidence import EvidenceCounter
-from turmericreel.gateway.forwarded_answer import ForwardedAnswer
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.gateway.metrics import AttemptOutcome, GatewayMetrics
 from turmericreel.gateway.path_connections import PathConnections
 from turmericreel.gateway.server_chooser import ServerChooser
-from turmericreel.gateway.server_exchange import ServerExchange
+from turmericreel.gateway.server_exchange import ForwardedAnswer, ServerExchange
 from turmericreel.gateway.usage_counter import UsageCounter
 from turmericreel.model.failures import Failure, FailureError, NotRun
 from turmericreel.model.ids import ClientAccountId
@@ -39,6 +32,12 @@
 from turmericreel.util.clock import Clock
 from turmericreel.util.numbers import parse_count
 
+# A server that sends nothing for the route's latency target counts as lost. A shorter
+# timeout than this would expire before a lost packet is retransmitted.
+MIN_IDLE_TIMEOUT_S = 0.4
+# Multiple of the latency target that a server may take to begin an answer, extended
+# under pressure. A server that takes longer holds the request without running it.
+HEADER_TIMEOUT_FACTOR = 2.0
 # Time in which a server that sent a byte counts as heard from in the log.
 HEARD_S = 1.0
 UNAVAILABLE_STATUS = 503
@@ -94,16 +93,10 @@
         server: RegisteredServer,
         progress: RequestProgress,
         *,
-        may_give_up: Callable[[ForwardedAnswer], bool],
         last_event_id: str | None = None,
     ) -> tuple[Attempt, ForwardedAnswer]:
         """Send an attempt; return it with its answer, whose header has been read.
 
-        Parameters
-        ----------
-        may_give_up : callable
-            See `ForwardedAnswer`.
-
         Raises
         ------
         FailureError
@@ -117,14 +110,12 @@
         now = self.clock.monotonic()
         self.chooser.rates.take(server)
         self.chooser.brittle.begin(server)
-        prompt = self.chooser.prompt_of(request, server.service)
         exchange = ServerExchange(
             request=request,
             server=server,
             load=self.loads.of(server.server),
-            head_wait=self._head_wait(request, server, prompt, now),
-            may_give_up=may_give_up,
-            run_silence=self._run_silence(request, server),
+            idle_timeout_s=_idle_timeout_s(request),
+            header_deadline=now + self._header_timeout_s(request, now),
             connections=self.connections,
             names=self.names,
             clock=self.clock,
@@ -148,6 +139,7 @@
         progress.tried.add(server.server)
         self.chooser.record_session(request, server, now)
         self._log_sent(request, server, progress, now)
+        prompt = self.chooser.prompt_of(request, server.service)
         self.chooser.work.add(server.server, prompt.full_prefill_ms)
         try:
             server_answer = exchange.begin(
@@ -275,38 +267,15 @@
         amounts = UsageAmounts(n_runs=1, n_prompt_tokens=request.n_prompt_tokens)
         self.usage.add(_usage_key(request, server), amounts)
 
-    def _head_wait(
-        self,
-        request: ClientRequest,
-        server: RegisteredServer,
-        prompt: Prompt,
-        now: float,
-    ) -> HeadWait | None:
-        """Return how long to wait for the header; None if it must not run twice."""
-        route = request.route
-        if not route.is_idempotent:
-            return None
-        prefill_ms = 0.0
-        if route.event_gap_target_ms is not None:
-            pending_ms = self.chooser.work.pending_ms(server.server)
-            prefill_ms = pending_ms + prompt.full_prefill_ms
-        return choose_head_wait(
-            target_s=route.latency_target_ms / 1_000,
-            pressure=self.pressure.level(now=now),
-            prefill_s=prefill_ms / 1_000,
-            left_s=request.deadline - now,
-        )
+    def _header_timeout_s(self, request: ClientRequest, now: float) -> float:
+        """Return how long a server may take to begin its answer, in seconds.
 
-    def _run_silence(
-        self, request: ClientRequest, server: RegisteredServer
-    ) -> RunSilence:
-        route = request.route
-        pause_ms = route.event_gap_target_ms if route.is_idempotent else None
-        return RunSilence(
-            begun=self.loads.of(server.server).begun,
-            priority=request.priority,
-            allowed_pause_s=pause_ms / 1_000 if pause_ms is not None else None,
-        )
+        It is infinite for requests that must not run twice.
+        """
+        if not request.route.is_idempotent:
+            return inf
+        target_s = max(request.route.latency_target_ms / 1_000, MIN_IDLE_TIMEOUT_S)
+        return target_s * HEADER_TIMEOUT_FACTOR * (1 + self.pressure.level(now=now))
 
     def _log_sent(
         self,
@@ -376,3 +345,9 @@
     if was_refused(failure):
         return AttemptOutcome.REFUSED
     return AttemptOutcome.UNREACHED
+
+
+def _idle_timeout_s(request: ClientRequest) -> float | None:
+    if not request.route.is_idempotent:
+        return None
+    return max(request.route.latency_target_ms / 1_000, MIN_IDLE_TIMEOUT_S)
--- a/turmericreel/gateway/attempts.py
+++ b/turmericreel/gateway/attempts.py
@@ -30,8 +30,6 @@
 MIN_SERVER_ERROR_STATUS = 500
 # Time after its first event in which a server that a part ends would have ended.
 PROGRESS_S = 0.5
-# The time to the second event shows how long the engine takes between events.
-EVENTS_OF_BEGUN_RUN = 2
 
 
 @dataclass(kw_only=True)
@@ -68,8 +66,6 @@
         Whether a server may have run the request.
     has_failed : bool
         Whether an attempt that may have run failed.
-    has_retry : bool
-        Whether the budget's retry for the next attempt was taken in advance.
     fallback : Answer or None
         Error response of a server, returned if no other attempt succeeds.
     """
@@ -79,7 +75,6 @@
     n_unreached: int = 0
     may_have_run: bool = False
     has_failed: bool = False
-    has_retry: bool = False
     fallback: Answer | None = None
 
     def count_failure(self, failure: Failure) -> None:
@@ -123,8 +118,6 @@
     ATTEMPTS = "attempts"
     UNREACHED = "unreached"
     BUDGET = "budget"
-    NO_SERVER = "no_server"
-    NO_EVENT_ID = "no_event_id"
 
 
 class LargerModelWanted(Exception):  # noqa: N818
@@ -170,7 +163,6 @@
         self.was_refused = False
         self.is_open = True
         self.first_event_at: float | None = None
-        self.n_events = 0
         self.parts_are_answered = False
         loads.of(self.server.server).begin_attempt(now=exchange.clock.monotonic())
 
@@ -194,19 +186,13 @@
         self._tell_guard(how)
         self.exchange.end()
 
-    def record_progress(self, n_events: int) -> None:
+    def record_progress(self) -> None:
         """Record that events of a stream arrived.
 
         A server that goes on for a while after the first one has begun to answer all
         parts of the prompt.
         """
         now = self.exchange.clock.monotonic()
-        n_before, self.n_events = self.n_events, self.n_events + n_events
-        if n_before < EVENTS_OF_BEGUN_RUN <= self.n_events:
-            self.loads.of(self.server.server).begun.record(
-                sent_at=self.exchange.began,
-                priority=self.exchange.request.priority,
-            )
         if self.first_event_at is None:
             self.first_event_at = now
         elif not self.parts_are_answered and now >= self.first_event_at + PROGRESS_S:
--- a/turmericreel/gateway/dispatcher.py
+++ b/turmericreel/gateway/dispatcher.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Iterator
 from dataclasses import replace
-from functools import partial
 
 from eliot import log_message
 
-from turmericreel.decisions.stream_silence import longest_pause_s
 from turmericreel.decisions.windowed_budget import WindowedBudget
 from turmericreel.entry.answer_buffer import AnswerBuffer
 from turmericreel.gateway.attempt_starter import AttemptStarter
@@ -26,10 +24,9 @@
 from turmericreel.gateway.client_request import ClientRequest
 from turmericreel.gateway.crash_guard import is_quarantine_failure
 from turmericreel.gateway.event_stream import EventSplitter, EventStreamError
-from turmericreel.gateway.forwarded_answer import ForwardedAnswer
 from turmericreel.gateway.metrics import AttemptOutcome
 from turmericreel.gateway.server_chooser import ServerChooser, is_no_server_failure
-from turmericreel.gateway.silent_runs import SilentRuns
+from turmericreel.gateway.server_exchange import ForwardedAnswer
 from turmericreel.model.failures import FailureError, NotRun
 from turmericreel.model.ids import ServiceName
 from turmericreel.model.registered_server import RegisteredServer
@@ -45,6 +42,9 @@
 # Connections that fail cause no work at a server, so they have a separate limit instead
 # of counting as attempts.
 MAX_UNREACHED = 3
+# Silence within a stream after which it is resumed at another server. Streams pause for
+# about a second at a busy engine, and clients give up after several seconds.
+RESUMABLE_STREAM_IDLE_TIMEOUT_S = 2.5
 # Long enough that a silent stream that may not be resumed ends at its deadline.
 STREAM_IDLE_TIMEOUT_S = 3_600.0
 
@@ -73,12 +73,6 @@
         self.budget = budget
         self.clock = clock
         self.buffer = AnswerBuffer(limit_bytes=MAX_BUFFERED_BYTES)
-        self.silent_runs = SilentRuns(
-            chooser=chooser,
-            metrics=starter.metrics,
-            reserve_retry=self._reserve_retry,
-            clock=clock,
-        )
 
     def run(self, request: ClientRequest) -> Answer:
         """Return the answer to a request.
@@ -124,14 +118,7 @@
         server: RegisteredServer,
         progress: RequestProgress,
     ) -> Answer:
-        attempt, server_answer = self.starter.begin(
-            request,
-            server,
-            progress,
-            may_give_up=partial(
-                self.silent_runs.may_give_up, request, server, progress
-            ),
-        )
+        attempt, server_answer = self.starter.begin(request, server, progress)
         # A client disconnect does not count as a failure of the server.
         how = AttemptEnd.CANCELLED
         try:
@@ -245,7 +232,7 @@
             how = AttemptEnd.CANCELLED
             try:
                 server_answer.set_idle_timeout(
-                    longest_pause_s(server_answer.run_silence.allowed_pause_s)
+                    RESUMABLE_STREAM_IDLE_TIMEOUT_S
                     if resumable
                     else STREAM_IDLE_TIMEOUT_S
                 )
@@ -255,8 +242,7 @@
                         raise EventStreamError("the buffer is full within an event")
                     if events is not None:
                         delivered = True
-                        server_answer.is_resumable = splitter.last_id is not None
-                        attempt.record_progress(events.count)
+                        attempt.record_progress()
                         attempt.counter.record_events(
                             events.count, now=self.clock.monotonic()
                         )
@@ -296,13 +282,7 @@
             try:
                 server = self.chooser.choose(request, service, progress.tried)
                 attempt, server_answer = self.starter.begin(
-                    request,
-                    server,
-                    progress,
-                    may_give_up=partial(
-                        self.silent_runs.may_give_up, request, server, progress
-                    ),
-                    last_event_id=splitter.last_id,
+                    request, server, progress, last_event_id=splitter.last_id
                 )
             except FailureError as error:
                 detail = error.failure.describe()
@@ -356,31 +336,10 @@
         )
         return False
 
-    def _reserve_retry(
-        self, request: ClientRequest, progress: RequestProgress, n_sent: int
-    ) -> NoRetryReason | None:
-        """Return why not to retry, or None after taking the next attempt's retry.
-
-        Parameters
-        ----------
-        n_sent : int
-            Attempts that were sent, with the one that may be given up.
-        """
-        if progress.has_retry:
-            return None
-        reason = self._no_retry_reason(request, progress, n_sent=n_sent)
-        progress.has_retry = reason is None
-        return reason
-
     def _no_retry_reason(
-        self,
-        request: ClientRequest,
-        progress: RequestProgress,
-        *,
-        n_sent: int | None = None,
+        self, request: ClientRequest, progress: RequestProgress
     ) -> NoRetryReason | None:
         """Return why not to retry, or None after taking a retry from the budget."""
-        n_sent = progress.n_sent if n_sent is None else n_sent
         now = self.clock.monotonic()
         if self.starter.guard.is_quarantined(request.content, request.part_digests):
             return NoRetryReason.QUARANTINED
@@ -388,13 +347,10 @@
             return NoRetryReason.DEADLINE
         if progress.may_have_run and not request.route.is_idempotent:
             return NoRetryReason.MAY_HAVE_RUN
-        if n_sent >= request.route.max_attempts:
+        if progress.n_sent >= request.route.max_attempts:
             return NoRetryReason.ATTEMPTS
         if progress.n_unreached > MAX_UNREACHED:
             return NoRetryReason.UNREACHED
-        if progress.has_retry:
-            progress.has_retry = False
-            return None
         return None if self.budget.take(now=now) else NoRetryReason.BUDGET
 
 
--- a/turmericreel/gateway/metrics.py
+++ b/turmericreel/gateway/metrics.py
@@ -66,12 +66,6 @@
             ["outcome"],
             registry=registry,
         )
-        self.silent_runs = Counter(
-            "turmericreel_gateway_silent_runs",
-            "Attempts that were silent for too long, given up or awaited.",
-            ["is_given_up"],
-            registry=registry,
-        )
 
     def record_end(self, kind: str, outcome: RequestOutcome, *, seconds: float) -> None:
         """Count a finished request and record its duration.
@@ -90,10 +84,6 @@
         """Count a finished attempt."""
         self.attempts.labels(outcome=outcome.value).inc()
 
-    def record_silent_run(self, *, is_given_up: bool) -> None:
-        """Count an attempt that was silent for too long."""
-        self.silent_runs.labels(is_given_up=str(is_given_up).lower()).inc()
-
 
 class GatewayCollector(Collector):
     """Gauges whose values are computed when the metrics are read.
--- a/turmericreel/gateway/server_chooser.py
+++ b/turmericreel/gateway/server_chooser.py
@@ -171,13 +171,6 @@
             raise
         return chosen
 
-    def has_untried(
-        self, request: ClientRequest, service: ServiceName, tried: set[BackendServerId]
-    ) -> bool:
-        """Return whether a usable server is not in `tried`."""
-        allowed = self._allowed_servers(request, service, self.clock.monotonic())
-        return any(server.server not in tried for server in allowed)
-
     def _best_of(
         self,
         request: ClientRequest,
--- a/turmericreel/gateway/server_exchange.py
+++ b/turmericreel/gateway/server_exchange.py
@@ -4,13 +4,14 @@
 
 from eliot import log_message
 
-from turmericreel.decisions.stream_silence import HeadWait, RunSilence
+from turmericreel.entry.server_answer import MIN_FINAL_STATUS, ServerAnswer
 from turmericreel.entry.server_connections import ServerConnection
 from turmericreel.gateway.client_request import (
     ClientRequest,
+    Headers,
     encode_for_server,
+    end_to_end_headers,
 )
-from turmericreel.gateway.forwarded_answer import ForwardedAnswer
 from turmericreel.gateway.header_names import HeaderNames
 from turmericreel.gateway.path_connections import PathConnections
 from turmericreel.gateway.relay_connections import RelayedConnection
@@ -35,6 +36,69 @@
 MIN_TIME_LEFT_MS = 1
 
 
+class ForwardedAnswer(ServerAnswer):
+    """A server's answer that is forwarded to a client.
+
+    An answer without a length is complete when the server closes the connection, but
+    not when the connection is reset.
+
+    Parameters
+    ----------
+    load : ServerLoad
+        Load of the server.  Bytes that the server sends on any connection restart the
+        idle timeout.
+
+    Attributes
+    ----------
+    ended_with_connection : bool
+        Whether only the closed connection showed where the answer ends.
+    """
+
+    requires_stated_end = False
+
+    def __init__(self, *, load: ServerLoad, **options):
+        self.load = load
+        self.ended_with_connection = False
+        super().__init__(**options)
+
+    def set_idle_timeout(self, idle_timeout_s: float | None) -> None:
+        """Set the time without bytes from the server after which reading fails.
+
+        Parameters
+        ----------
+        idle_timeout_s : float or None
+            None sets no limit other than the deadline.
+        """
+        self.idle_timeout_s = idle_timeout_s
+        self._restart_timer()
+
+    def _remaining_s(self) -> float:
+        self.last_read = max(self.last_read, self.load.last_byte_at)
+        return super()._remaining_s()
+
+    def _read_block(self) -> int:
+        try:
+            n_bytes = super()._read_block()
+            self.load.last_byte_at = self.last_read
+            return n_bytes
+        except FailureError:
+            if not self._may_end_with_connection():
+                raise
+            self.ended_with_connection = True
+            self.parser.message_complete = True
+            return 0
+
+    def _may_end_with_connection(self) -> bool:
+        has_head = self.parser.headers_complete and self.status >= MIN_FINAL_STATUS
+        if not has_head or self.timed_out or self.was_reset:
+            return False
+        return not self.states_its_end
+
+    def forwarded_headers(self) -> Headers:
+        """Return the end-to-end headers, which are forwarded to the client."""
+        return end_to_end_headers(list(self.parser.items()))
+
+
 class ServerExchange:
     """Connection and answer of one attempt.
 
@@ -44,11 +108,12 @@
     server : RegisteredServer
     load : ServerLoad
         Load of the server.
-    head_wait : HeadWait or None
-        How long to wait for the header of the answer; None waits for the deadline.
-    may_give_up : callable
-        See `ForwardedAnswer`.
-    run_silence : RunSilence
+    idle_timeout_s : float or None
+        Seconds without bytes from the server after which it counts as lost, while the
+        header of the answer is pending; None waits for the deadline.
+    header_deadline : float
+        When the header of the answer must be complete, in seconds on the monotonic
+        clock.
     connections : PathConnections
     names : HeaderNames
     clock : Clock
@@ -70,9 +135,8 @@
         request: ClientRequest,
         server: RegisteredServer,
         load: ServerLoad,
-        head_wait: HeadWait | None,
-        may_give_up: Callable[[ForwardedAnswer], bool],
-        run_silence: RunSilence,
+        idle_timeout_s: float | None,
+        header_deadline: float,
         connections: PathConnections,
         names: HeaderNames,
         clock: Clock,
@@ -82,10 +146,8 @@
         self.server = server
         self.address = parse_address(server.address)
         self.load = load
-        self.head_wait = head_wait
-        self.may_give_up = may_give_up
-        self.run_silence = run_silence
-        self.began = clock.monotonic()
+        self.idle_timeout_s = idle_timeout_s
+        self.header_deadline = header_deadline
         self.connections = connections
         self.names = names
         self.clock = clock
@@ -138,13 +200,9 @@
             connection=self.connection,
             method=self.request.method,
             clock=self.clock,
-            deadline=self.deadline,
-            may_give_up=self.may_give_up,
-            run_silence=self.run_silence,
+            deadline=min(self.deadline, self.header_deadline),
         )
-        if self.head_wait is not None:
-            self.answer.head_deadline = self.began + self.head_wait.total_s
-            self.answer.set_idle_timeout(self.head_wait.silence_s)
+        self.answer.set_idle_timeout(self.idle_timeout_s)
         try:
             self.answer.read_header()
         except FailureError as error:
@@ -160,6 +218,7 @@
             if self.answer.timed_out:
                 self.connections.record_silence(self.connection)
             raise self._outcome_unknown(error.failure.describe()) from error
+        self.answer.deadline = self.deadline
         self.answer.set_idle_timeout(None)
         self._check_identity()
         on_header(self.server, self.answer)
--- a/turmericreel/gateway/server_loads.py
+++ b/turmericreel/gateway/server_loads.py
@@ -1,14 +1,13 @@
 """Load and recent failures of each server, as one gateway knows them."""
 
 from collections.abc import Container, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import inf
 
 from eliot import log_message
 from msgspec.structs import replace
 
 from turmericreel.decisions.server_health import ServerOutcomes
-from turmericreel.decisions.stream_silence import BegunRuns
 from turmericreel.model.ids import BackendServerId
 
 # After the duration of a few requests a reported load is out of date.
@@ -46,8 +45,6 @@
         When the last byte from the server arrived, on any connection.
     busy_since : float
         Since when requests of this gateway have been running at the server.
-    begun : BegunRuns
-        Streams of this gateway that lately began at the server.
     """
 
     n_running: int = 0
@@ -58,7 +55,6 @@
     pause_deadline: float = 0.0
     last_byte_at: float = 0.0
     busy_since: float = 0.0
-    begun: BegunRuns = field(default_factory=BegunRuns)
 
     def begin_attempt(self, *, now: float) -> None:
         """Count a request that is sent."""
