--- a/turmericreel/entry/http_server.py
+++ b/turmericreel/entry/http_server.py
@@ -26,9 +26,7 @@
     WaitingConnection,
     choose_connection_to_close,
 )
-from turmericreel.entry.application import (
-    failure_answer,
-)
+from turmericreel.entry.application import failure_answer
 from turmericreel.entry.door_log import DoorLog
 from turmericreel.entry.http_handler import BoundedHandler, plain_response
 from turmericreel.model.failures import NotRun, NotRunReason
